--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,100 @@
+// Command benchlink hosts instances of the decision module on the bench's wire: batches of events on standard
+// input, one reply for each on standard output. The instances share nothing.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"ottershed/internal/benchwire"
+	"ottershed/logic"
+)
+
+func main() {
+	if err := serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
+
+// serve answers batches until the input ends between two of them.
+func serve(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
+	marshals := map[int]*logic.Marshal{}
+	var dec benchwire.Decoder
+	var reply []byte
+	var now float64
+	open := false
+	for n := 1; ; n++ {
+		line, err := r.ReadString('\n')
+		if err != nil && (!errors.Is(err, io.EOF) || line != "") {
+			return fmt.Errorf("line %d: cut short: %w", n, err)
+		}
+		if err != nil {
+			if open {
+				return fmt.Errorf("line %d: input ended inside a batch", n)
+			}
+			return nil
+		}
+		line = strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r")
+		switch clock, isSync := strings.CutPrefix(line, "sync\t"); {
+		case isSync && !open:
+			if now, err = strconv.ParseFloat(clock, 64); err != nil {
+				return fmt.Errorf("line %d: sync: %q is not a time", n, clock)
+			}
+			open, reply = true, reply[:0]
+		case isSync || !open:
+			return fmt.Errorf("line %d: %q is out of place", n, line)
+		case line == "commit":
+			if dec.Pending() {
+				return fmt.Errorf("line %d: the batch ended inside a list", n)
+			}
+			open = false
+			if _, err = w.Write(append(reply, "end\n"...)); err == nil {
+				err = w.Flush()
+			}
+			if err != nil {
+				return err
+			}
+		default:
+			in, err := dec.Line(line)
+			if err != nil {
+				return fmt.Errorf("line %d: %w", n, err)
+			}
+			if in != nil {
+				reply = handle(marshals, reply, now, in)
+			}
+		}
+	}
+}
+
+// handle gives one event to its instance; a panic in the module becomes a fault of that instance.
+func handle(marshals map[int]*logic.Marshal, reply []byte, now float64, in *benchwire.Incoming) (out []byte) {
+	defer func() {
+		if p := recover(); p != nil {
+			out = benchwire.AppendFault(reply, in.Who, fmt.Sprintf("panic: %v", p))
+			delete(marshals, in.Who)
+		}
+	}()
+	switch m := marshals[in.Who]; {
+	case in.Born != nil && in.Born.Err != nil:
+		delete(marshals, in.Who)
+		return benchwire.AppendFault(reply, in.Who, in.Born.Err.Error())
+	case in.Born != nil:
+		marshals[in.Who] = logic.New(in.Born.Settings, in.Born.Seed)
+	case in.Down:
+		delete(marshals, in.Who)
+	case m != nil:
+		out = reply
+		for _, a := range m.Handle(now, in.Event) {
+			out = benchwire.Append(out, in.Who, a)
+		}
+		return out
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/benchwire/settings.go
@@ -0,0 +1,115 @@
+package benchwire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"ottershed/logic"
+)
+
+// pairs holds the path=value settings of an instance; the first one missing or absurd stays in err.
+type pairs struct {
+	v   map[string]string
+	err error
+}
+
+func (p *pairs) fail(key, why string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("setting %s: %s", key, why)
+	}
+}
+
+func (p *pairs) need(key string, low, high float64) float64 {
+	s, ok := p.v[key]
+	if !ok {
+		p.fail(key, "missing")
+		return low
+	}
+	return p.number(key, s, low, high)
+}
+
+func (p *pairs) number(key, s string, low, high float64) float64 {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(v) || v < low || v > high {
+		p.fail(key, fmt.Sprintf("%q is not a number from %g to %g", s, low, high))
+		return low
+	}
+	return v
+}
+
+// may reads a number that no rule depends on; absent, it is 0.
+func (p *pairs) may(key string) float64 {
+	if s, ok := p.v[key]; ok {
+		return p.number(key, s, 0, math.MaxFloat64)
+	}
+	return 0
+}
+
+func (p *pairs) list(key string) []float64 {
+	var out []float64
+	for _, s := range strings.Split(p.v[key], ",") {
+		out = append(out, p.number(key, s, 0, 1))
+	}
+	return out
+}
+
+func (p *pairs) yes(key string) bool { return p.v[key] == "true" || p.v[key] == "1" }
+
+const most = 1e12
+
+func settings(parts []string) (logic.Settings, error) {
+	p := &pairs{v: map[string]string{}}
+	for _, part := range parts {
+		if k, v, ok := strings.Cut(part, "="); ok {
+			p.v[k] = v
+		}
+	}
+	s := logic.Settings{
+		Self: logic.MarshalNo(p.may("self-index")), Marshals: int(p.need("n-instances", 1, 1e6)),
+		Zone: logic.Zone(p.v["zone"]), Granularity: p.may("granularity-ms"),
+		AskList: p.v["discovery"] == "ask", AskWithin: p.may("rules.ask-within-ms"),
+		CrossPrice: p.may("charges.cross-zone"),
+		MayCancel:  p.yes("limits.cancel"), MayBounceLater: p.yes("limits.retry-after"),
+		MayProbe: p.yes("limits.probing"), MayTell: p.yes("limits.peer-messages"),
+		MayCopy: p.yes("limits.second-copies"), MaxComeBack: p.may("limits.max-retry-after-ms"),
+		MaxForwards: int(p.need("limits.most-tries", 1, 1e6)),
+		ColdFrom:    p.need("rules.cold-from", 0, 1), WarmAfter: p.need("rules.warm-after-ms", 0, most),
+		OverFactor: p.need("rules.overload-factor", 0, most), OverFor: p.need("rules.overload-for-ms", 0, most),
+		DrainTime: p.need("rules.drain-grace-ms", 0, most),
+		InPlace:   p.v["domain.swap"] == "rolling", Caps: p.list("domain.caps"), Stages: p.list("domain.waves"),
+		Free: p.need("domain.uncounted", 0, most), PerGroup: p.v["domain.per"] == "per_lane",
+		Guarded: int(p.need("domain.guarded-stages", 0, 1e6)), KeysStay: p.v["domain.keys-stay"] != "false",
+		TallyEvery: p.may("domain.tally-every-ms"), FlagShare: p.may("domain.reported-share"),
+		VoteLife: p.may("domain.vote-ttl-ms"), VoteWait: p.may("domain.vote-wait-ms"),
+		Soak: p.may("domain.soak-ms"),
+	}
+	if p.v["domain.vote-mode"] == "clocked" {
+		s.Control = logic.ByClock
+	}
+	if len(s.Caps) != len(s.Stages) {
+		p.fail("domain.caps", "its length differs from that of domain.waves")
+	}
+	effects := map[string]logic.Effect{"safe": logic.Repeatable, "keyed": logic.Tagged, "unsafe": logic.Mutating}
+	scopes := map[string]logic.Scope{"all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeCell}
+	for i := 0; i < int(p.need("services.count", 0, 1e4)); i++ {
+		at := fmt.Sprintf("services.%d.", i)
+		effect, ok := effects[p.v[at+"idempotency"]]
+		if !ok {
+			p.fail(at+"idempotency", "missing or unknown")
+		}
+		scope, ok := scopes[p.v[at+"group"]]
+		if !ok && effect == logic.Tagged {
+			p.fail(at+"group", "missing or unknown")
+		}
+		g := logic.PathGroup{Name: logic.GroupName(p.v[at+"name"]), Target: p.need(at+"aim-ms", 0, most),
+			Timeout: p.need(at+"give-up-ms", 0, most), LateShare: p.may(at + "late-share"), Effect: effect,
+			Scope: scope, Benefit: p.may(at + "worth")}
+		if effect == logic.Tagged {
+			g.Remember = p.need(at+"window-ms", 0, most)
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	return s, p.err
+}
