--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,21 +37,25 @@
 
 // Marshal is one instance.
 type Marshal struct {
-	set    Settings
-	seed   uint64
-	draws  uint64
-	now    Millis
-	acts   []Action
-	groups map[GroupName]*group
-	order  []*group // path groups in the order of the settings
-	other  *group   // hits of a path group that the settings don't name: the most careful effect
-	nodes  map[NodeID]*node
-	list   []*node        // nodes by id; the list of nodes empties it
-	hits   map[HitID]*hit // open hits; their endings empty it
-	first  []*hit         // hits waiting for their first forward; ends by patience
-	again  []*hit         // hits waiting for a further forward; the same
-	period Millis
-	ticked bool
+	set     Settings
+	seed    uint64
+	draws   uint64
+	now     Millis
+	acts    []Action
+	groups  map[GroupName]*group
+	order   []*group // path groups in the order of the settings
+	judged  []*group // these, and all of them taken together
+	pool    *group   // all path groups, each against its pace, so that thin marshals fill groups too
+	kinds   map[Kind]*pace
+	earlier Build  // the build before the newest
+	other   *group // hits of a path group that the settings don't name: the most careful effect
+	nodes   map[NodeID]*node
+	list    []*node        // nodes by id; the list of nodes empties it
+	hits    map[HitID]*hit // open hits; their endings empty it
+	first   []*hit         // hits waiting for their first forward; ends by patience
+	again   []*hit         // hits waiting for a further forward; the same
+	period  Millis
+	ticked  bool
 
 	news     StageNews // as last told
 	told     bool
@@ -75,11 +79,11 @@
 type group struct {
 	PathGroup
 	index   int
+	pace    pace // of the earlier build
 	allowed allowance
 	blue    []float64 // filling group of the earlier build
 	kept    []float64 // its last full group
 	grn     []float64 // filling group of the build on trial
-	cold    int       // answers in it from nodes that may be cold
 	prev    []float64 // its last full group
 	agrees  bool
 	rejects int
@@ -108,6 +112,7 @@
 	place    float64
 	taken    Millis
 	ends     Millis
+	hint     Millis
 	forwards []forward
 	out      int
 	done     bool // final answer given or hit gone
@@ -126,7 +131,7 @@
 // New makes an instance that knows nothing but its settings.
 func New(set Settings, seed uint64) *Marshal {
 	m := &Marshal{set: set, seed: seed, groups: map[GroupName]*group{}, nodes: map[NodeID]*node{},
-		hits: map[HitID]*hit{}, period: math.Inf(1)}
+		hits: map[HitID]*hit{}, kinds: map[Kind]*pace{}, period: math.Inf(1)}
 	m.other = &group{index: len(set.Groups)}
 	for i, g := range set.Groups {
 		pg := &group{PathGroup: g, index: i, allowed: allowance{level: set.Free}}
@@ -135,6 +140,8 @@
 		m.period = min(m.period, g.Target*tickShare)
 		m.other.Target = max(m.other.Target, g.Target)
 	}
+	m.pool = &group{}
+	m.judged = append(slices.Clone(m.order), m.pool)
 	m.other.allowed.level = set.Free
 	m.allowed.level = set.Free
 	m.period = max(min(m.period, m.other.Target), set.Granularity, 1)
@@ -278,7 +285,7 @@
 	if g == nil {
 		g = m.other
 	}
-	h := &hit{id: e.Hit, group: g, taken: m.now, ends: m.now + e.TTL}
+	h := &hit{id: e.Hit, group: g, taken: m.now, ends: m.now + e.TTL, hint: e.Hint}
 	if e.Key != "" {
 		h.key = crc32.ChecksumIEEE([]byte(e.Key)) | 1
 	}
@@ -706,99 +713,112 @@
 
 // sample adds an outcome to the groups of its build.
 func (m *Marshal) sample(h *hit, f *forward, e ForwardEnded) {
-	v := e.After
-	t := &f.node.tally[h.group.index]
+	g, n, v := h.group, f.node, e.After
 	switch e.Ending {
 	case Delivered:
-		t.good++
+		n.tally[g.index].good++
 	case NodeError:
 		v = math.Inf(1) // a failure ranks behind every answer
-		t.bad++
-	case TimedOut, Recalled:
-		if f.node.strikes > 0 || h.done {
+		n.tally[g.index].bad++
+	case TimedOut:
+		if n.strikes > 0 || h.done {
 			return // a silent node, not its build
 		}
 	default:
 		return
 	}
-	g := h.group
-	if f.build < m.news.Build {
-		if g.blue = append(g.blue, v); len(g.blue) == groupSize {
-			g.kept, g.blue = g.blue, nil
-		}
+	if h.hint > 0 {
+		v /= h.hint
+	}
+	kind := m.kinds[n.Kind]
+	if kind == nil {
+		kind = &pace{}
+		m.kinds[n.Kind] = kind
+	}
+	// Danger: a cold node is slow whatever it runs, and one trial node of a slow kind is no slow build. So only
+	// warm nodes count, each against the earlier build's pace in its path group and on its kind of machine.
+	if m.warmth(n) < 1 || f.build > m.news.Build {
 		return
 	}
-	if f.build > m.news.Build {
+	if blue := f.build < m.news.Build || m.news.Phase == Released; blue {
+		if e.Ending == Delivered {
+			kind.add(v / g.pace.add(v))
+		}
+		for _, to := range []*group{g, m.pool} {
+			if to.blue = append(to.blue, v/g.pace.at()/kind.at()); len(to.blue) == groupSize {
+				to.kept, to.blue = to.blue, nil
+			}
+		}
 		return
 	}
-	if m.warmth(f.node) < 1 {
-		g.cold++
+	for _, to := range []*group{g, m.pool} {
+		if to.grn = append(to.grn, v/g.pace.at()/kind.at()); len(to.grn) == groupSize {
+			to.judge()
+		}
 	}
-	if g.grn = append(g.grn, v); len(g.grn) == groupSize {
-		m.judge(g)
+}
+
+// pace is a smoothed mean, exact at first.
+type pace struct{ mean, n float64 }
+
+func (p *pace) add(v float64) float64 {
+	p.n = min(p.n+1, groupSize*2)
+	p.mean += (v - p.mean) / p.n
+	return p.mean
+}
+
+func (p *pace) at() float64 {
+	if p.n == 0 {
+		return 1
 	}
+	return p.mean
 }
 
 // judge compares a full group of the build on trial.
-func (m *Marshal) judge(g *group) {
-	grn, prev, cold := g.grn, g.prev, g.cold
-	g.grn, g.prev, g.cold = nil, grn, 0
-	if prev == nil || g.kept == nil || kruskal(prev, grn) >= rejectAt {
-		return // not settled
-	}
-	slower := median(grn) >= slowGap*median(g.kept)
+func (g *group) judge() {
+	grn, prev := g.grn, g.prev
+	g.grn, g.prev = nil, grn
 	switch {
-	case kruskal(g.kept, grn) < rejectAt || median(grn) <= median(g.kept):
-		g.agrees, g.rejects = true, 0
-	case slower && cold*2 > groupSize: // it may only be cold
-	case slower:
+	case g.kept == nil:
+	case g.slower(grn):
+		// Danger: under a build too slow for its load no two groups agree, so rejections don't wait for that.
 		g.agrees = false
 		g.rejects++
-	default:
-		g.agrees = false
+	case prev != nil && kruskal(prev, grn) < rejectAt:
+		g.rejects = 0
+		g.agrees = kruskal(g.kept, grn) < rejectAt || median(grn) <= median(g.kept)
 	}
 }
 
+// slower tells whether outcomes are rejected and clearly slower than the kept group.
+func (g *group) slower(grn []float64) bool {
+	return g.kept != nil && len(grn) > 0 && kruskal(g.kept, grn) >= rejectAt && median(grn) >= slowGap*median(g.kept)
+}
+
 // kruskal is the statistic of the rank test for two groups, ties at their middle rank.
 func kruskal(a, b []float64) float64 {
 	all := append(slices.Clone(a), b...)
 	slices.Sort(all)
-	rank := func(v float64) float64 {
-		low, _ := slices.BinarySearch(all, v)
-		high := low
-		for high < len(all) && all[high] == v {
-			high++
-		}
-		return float64(low+high+1) / 2
-	}
-	n := float64(len(all))
-	mid := (n + 1) / 2
+	mid := float64(len(all)+1) / 2
 	var between, within float64
 	for _, grp := range [][]float64{a, b} {
 		sum := 0.0
 		for _, v := range grp {
-			r := rank(v)
-			sum += r
-			within += (r - mid) * (r - mid)
+			low, _ := slices.BinarySearch(all, v)
+			high := low
+			for high < len(all) && all[high] == v {
+				high++
+			}
+			d := float64(low+high+1)/2 - mid
+			sum += d
+			within += d * d
 		}
-		d := sum/float64(len(grp)) - mid
-		between += float64(len(grp)) * d * d
+		between += sum * sum / float64(len(grp))
 	}
 	if within == 0 {
 		return 0
 	}
-	return (n - 1) * between / within
-}
-
-// kruskalCounts is the same statistic where outcomes are only good or bad.
-func kruskalCounts(a, b count) float64 {
-	na, nb := a.good+a.bad, b.good+b.bad
-	good, bad := a.good+b.good, a.bad+b.bad
-	if na == 0 || nb == 0 || good == 0 || bad == 0 {
-		return 0
-	}
-	d := a.bad*b.good - b.bad*a.good
-	return (na + nb - 1) * d * d / (na * nb * good * bad)
+	return float64(len(all)-1) * between / within
 }
 
 func median(v []float64) float64 {
@@ -806,52 +826,51 @@
 	return (s[(len(s)-1)/2] + s[len(s)/2]) / 2
 }
 
-// failing is the strongest sign, over the path groups and all together, that the build on trial fails more often.
-// The worst of several nodes is left out: trouble of one node is not its build's.
-func (m *Marshal) failing() (worst float64, seen float64) {
-	total := [2]count{}
-	for i := 0; i <= len(m.order); i++ {
-		var side [2]count
-		var odd *count
-		nodes := 0
+// failing is the strongest sign, in one path group or in all, that the build on trial fails more often than the
+// earlier one: the same test where outcomes are only good or bad, and the number of outcomes. The worst of
+// several nodes is left out: trouble of one node is not its build's.
+func (m *Marshal) failing() (worst, seen float64) {
+	var all [2]count
+	for i := range m.order {
+		var side [2]count // blue, grn
+		odd, nodes := count{}, 0
 		for _, n := range m.list {
-			t := &total
-			_ = t
-			k := 0
-			if n.Build == m.news.Build {
-				k = 1
-				if c := &n.tally[i]; c.good+c.bad > 0 {
-					nodes++
-					if odd == nil || c.bad*(odd.good+odd.bad) > odd.bad*(c.good+c.bad) {
-						odd = c
-					}
+			t := n.tally[i]
+			if n.Build == m.news.Build && t.good+t.bad > 0 {
+				nodes++
+				if t.bad*(odd.good+odd.bad) >= odd.bad*(t.good+t.bad) {
+					odd = t
 				}
-			} else if n.Build > m.news.Build {
-				continue
 			}
-			side[k].good += n.tally[i].good
-			side[k].bad += n.tally[i].bad
+			if n.Build <= m.news.Build {
+				side[1-min(1, int(m.news.Build-n.Build))].add(t, 1)
+			}
 		}
 		seen += side[1].good + side[1].bad
 		if nodes > 1 {
-			side[1].good -= odd.good
-			side[1].bad -= odd.bad
+			side[1].add(odd, -1)
 		}
 		for k := range side {
-			total[k].good += side[k].good
-			total[k].bad += side[k].bad
+			all[k].add(side[k], 1)
 		}
-		worst = max(worst, worse(side))
+		worst = max(worst, worse(side[0], side[1]))
 	}
-	return max(worst, worse(total)), seen
+	return max(worst, worse(all[0], all[1])), seen
 }
 
-func worse(side [2]count) float64 {
-	b, g := side[0], side[1]
-	if g.bad < 2 || g.bad*(b.good+b.bad) <= b.bad*(g.good+g.bad) {
+func (c *count) add(t count, times float64) {
+	c.good += times * t.good
+	c.bad += times * t.bad
+}
+
+// worse is the statistic of the rank test for two sets of good and bad outcomes, if grn's are the worse.
+func worse(blue, grn count) float64 {
+	nb, ng := blue.good+blue.bad, grn.good+grn.bad
+	if grn.bad < 2 || nb == 0 || grn.bad*nb <= blue.bad*ng {
 		return 0
 	}
-	return kruskalCounts(b, g)
+	d := grn.bad*blue.good - blue.bad*grn.good
+	return (nb + ng - 1) * d * d / (nb * ng * (blue.good + grn.good) * (blue.bad + grn.bad))
 }
 
 // ---- Voting ----
@@ -878,11 +897,8 @@
 		m.pinBuild = 0 // keys are free again
 		m.pins = [pinBuckets / 64]uint64{}
 	}
-	for _, g := range m.order {
-		if e.Build != old.Build && old.Phase == Released && g.prev != nil {
-			g.kept = g.prev // the build that was new is the earlier one now
-		}
-		g.blue, g.grn, g.prev, g.cold, g.agrees, g.rejects = nil, nil, nil, 0, false, 0
+	for _, g := range m.judged {
+		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
 	}
 	if e.Build != old.Build {
 		for _, n := range m.list {
@@ -896,22 +912,20 @@
 // verdict is what this marshal stands for, with the reason.
 func (m *Marshal) verdict() (Verdict, string) {
 	failing, seen := m.failing()
-	agree, reject, full, back := true, false, 0, 0
-	for _, g := range m.order {
-		if g.agrees || g.rejects > 0 {
+	agree, reject, full, back := true, false, 0, false
+	for _, g := range m.judged {
+		if g.kept != nil && g.prev != nil {
 			full++
+			agree = agree && g.agrees
 		}
-		agree = agree && (g.agrees || g.prev == nil || g.kept == nil)
 		reject = reject || g.rejects > 0
-		if g.rejects >= backAfter {
-			back++
-		}
+		back = back || g.rejects >= backAfter
 	}
 	if failing >= 2*rejectAt {
 		return VoteBack, fmt.Sprintf("failures, K %.1f", failing)
 	}
-	if back > 0 && (m.news.Phase == OnTrial || back == full) {
-		return VoteBack, fmt.Sprintf("clearly slower in %d path groups", back)
+	if back && m.news.Phase == OnTrial {
+		return VoteBack, "clearly slower twice"
 	}
 	if m.news.Phase != OnTrial {
 		return VoteNone, ""
@@ -927,7 +941,7 @@
 		return VoteNone, "failures seen"
 	case full > 0 && agree:
 		return VoteOn, "groups agree"
-	case full == 0 && !reject && m.now-m.stageAt >= blindAfter && seen >= groupSize*next:
+	case full == 0 && !reject && m.now-m.stageAt >= blindAfter && seen >= groupSize*next && !m.pool.slower(m.pool.grn):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, ""
