--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,7 @@
 	groups  map[GroupName]*group
 	order   []*group // path groups in the order of the settings
 	judged  []*group // these, and all of them taken together
+	shared  *group   // blue outcomes in this trial; kept: those from before it, by the same pace
 	pool    *group   // all path groups, each against its pace, so that thin marshals fill groups too
 	kinds   map[Kind]*pace
 	earlier Build  // the build before the newest
@@ -57,16 +58,19 @@
 	period  Millis
 	ticked  bool
 
-	news     StageNews // as last told
-	told     bool
-	stageAt  Millis // when the stage began
-	share    float64
-	allowed  allowance // exposure over all path groups
-	pins     [pinBuckets / 64]uint64
-	pinBuild Build
-	typical  Millis  // answer time over all nodes
-	warmRate float64 // forwards a ms to one unit of warm nodes
-	warmSent float64 // since the last look
+	news                     StageNews // as last told
+	told                     bool
+	stageAt                  Millis // when the stage began
+	share                    float64
+	allowed                  allowance // exposure over all path groups
+	pins                     [pinBuckets / 64]uint64
+	pinBuild                 Build
+	typical                  Millis  // answer time over all nodes
+	warmRate                 float64 // forwards a ms to one unit of warm nodes
+	warmSent                 float64 // since the last look
+	pressure, pressureBefore float64 // hits a ms, now and when the build was offered
+	units, unitsBefore       float64 // of nodes in use
+	taken                    float64 // since the last look
 
 	vote    Vote // as last cast
 	voteAt  Millis
@@ -79,7 +83,8 @@
 type group struct {
 	PathGroup
 	index   int
-	pace    pace // of the earlier build
+	pace    pace    // of the earlier build
+	before  float64 // that pace when the build was offered
 	allowed allowance
 	blue    []float64 // filling group of the earlier build
 	kept    []float64 // its last full group
@@ -140,7 +145,7 @@
 		m.period = min(m.period, g.Target*tickShare)
 		m.other.Target = max(m.other.Target, g.Target)
 	}
-	m.pool = &group{}
+	m.pool, m.shared = &group{}, &group{}
 	m.judged = append(slices.Clone(m.order), m.pool)
 	m.other.allowed.level = set.Free
 	m.allowed.level = set.Free
@@ -295,6 +300,7 @@
 	}
 	m.hits[h.id] = h
 	*m.room(h) += m.cap()
+	m.taken++
 	if len(m.first) > 0 || !m.forward(h) {
 		h.waiting = true
 		m.first = append(m.first, h)
@@ -571,25 +577,32 @@
 // ---- Looking around ----
 
 func (m *Marshal) lookAround() {
-	units := 0.0
-	var blue, grn float64
+	var blue, grn, units, inUse float64
 	for _, n := range m.list {
 		w := n.Units * m.warmth(n)
 		switch {
 		case n.State != Up || n.strikes > 0:
 		case n.Build >= m.news.Build:
-			grn += w
+			// Danger: cold nodes lose to warm ones in the choice, so their share would crowd grn's warm nodes and
+			// make a good build look slow.
+			grn += w * m.warmth(n)
 		default:
 			blue += w
 		}
-		if n.State == Up && w >= n.Units {
+		if n.State == Up && w >= n.Units && n.strikes == 0 {
 			units += n.Units
 		}
+		if n.State == Up && n.strikes == 0 {
+			inUse += w
+		}
 		n.fail *= 1 - m.period/m.set.WarmAfter
 		if m.hush(n) >= leaveHush && m.now >= n.shut {
 			m.strike(n)
 		}
 	}
+	m.units = inUse
+	m.pressure += min(1, m.period/m.set.WarmAfter) * (m.taken/m.period - m.pressure)
+	m.taken = 0
 	if units > 0 {
 		part := min(1, m.period/m.set.OverFor)
 		m.warmRate += part * (m.warmSent/units/m.period - m.warmRate)
@@ -744,6 +757,7 @@
 		if e.Ending == Delivered {
 			kind.add(v / g.pace.add(v))
 		}
+		m.sampleShared(g, v, kind)
 		for _, to := range []*group{g, m.pool} {
 			if to.blue = append(to.blue, v/g.pace.at()/kind.at()); len(to.blue) == groupSize {
 				to.kept, to.blue = to.blue, nil
@@ -758,6 +772,26 @@
 	}
 }
 
+// sampleShared judges the earlier build's own nodes against the time before the trial, for a build that slows
+// all nodes alike. Lost nodes or more hits explain a slowdown too, so it only counts without them.
+func (m *Marshal) sampleShared(g *group, v float64, kind *pace) {
+	if m.news.Phase != OnTrial || m.news.Stage == 0 || g.before == 0 {
+		return
+	}
+	s := m.shared
+	if s.grn = append(s.grn, v/g.before/kind.at()); len(s.grn) < groupSize {
+		return
+	}
+	grn := s.grn
+	s.grn = nil
+	if s.slower(grn) && median(grn) >= slowGap*slowGap*median(s.kept) &&
+		m.units*slowGap > m.unitsBefore && m.pressure < slowGap*m.pressureBefore {
+		s.rejects++
+	} else {
+		s.rejects = 0
+	}
+}
+
 // pace is a smoothed mean, exact at first.
 type pace struct{ mean, n float64 }
 
@@ -901,6 +935,11 @@
 		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
 	}
 	if e.Build != old.Build {
+		m.unitsBefore, m.pressureBefore = m.units, m.pressure
+		m.shared = &group{kept: m.pool.kept}
+		for _, g := range m.order {
+			g.before = g.pace.mean
+		}
 		for _, n := range m.list {
 			clear(n.tally)
 		}
@@ -914,7 +953,7 @@
 	failing, seen := m.failing()
 	agree, reject, full, back := true, false, 0, false
 	for _, g := range m.judged {
-		if g.kept != nil && g.prev != nil {
+		if g.kept != nil && g.prev != nil && (g != m.pool || full == 0) {
 			full++
 			agree = agree && g.agrees
 		}
@@ -927,6 +966,9 @@
 	if back && m.news.Phase == OnTrial {
 		return VoteBack, "clearly slower twice"
 	}
+	if m.shared.rejects >= backAfter && m.news.Phase == OnTrial {
+		return VoteBack, "all nodes slower than before the trial"
+	}
 	if m.news.Phase != OnTrial {
 		return VoteNone, ""
 	}
@@ -934,13 +976,16 @@
 	if m.news.Stage+1 < len(m.set.Stages) {
 		next = m.set.Stages[m.news.Stage+1]
 	}
+	reject = reject || m.shared.rejects > 0
 	switch {
 	case m.set.Control == ByClock && reject:
 		return VoteHold, "clearly slower once"
 	case m.set.Control == ByClock || failing >= rejectAt:
 		return VoteNone, "failures seen"
-	case full > 0 && agree:
+	case full > 0 && agree && !reject:
 		return VoteOn, "groups agree"
+	case m.vote.Verdict == VoteOn && !reject:
+		return VoteOn, "no later group is clearly slower"
 	case full == 0 && !reject && m.now-m.stageAt >= blindAfter && seen >= groupSize*next && !m.pool.slower(m.pool.grn):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
