--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,12 +65,13 @@
 	allowed                  allowance // exposure over all path groups
 	pins                     [pinBuckets / 64]uint64
 	pinBuild                 Build
-	typical                  Millis  // answer time over all nodes
-	warmRate                 float64 // forwards a ms to one unit of warm nodes
-	warmSent                 float64 // since the last look
-	pressure, pressureBefore float64 // hits a ms, now and when the build was offered
-	units, unitsBefore       float64 // of nodes in use
-	taken                    float64 // since the last look
+	typical                  Millis     // answer time over all nodes
+	warmRate                 [2]float64 // forwards a ms to one unit of warm nodes, of blue and of grn
+	warmSent                 [2]float64 // since the last look
+	coldRate                 float64    // the busier build's, as last seen
+	pressure, pressureBefore float64    // hits a ms, now and when the build was offered
+	units, unitsBefore       float64    // of nodes in use
+	taken                    float64    // since the last look
 
 	vote    Vote // as last cast
 	voteAt  Millis
@@ -91,6 +92,7 @@
 	grn     []float64 // filling group of the build on trial
 	prev    []float64 // its last full group
 	agrees  bool
+	gap     float64 // of medians, at the last clear rejection
 	rejects int
 }
 
@@ -327,7 +329,7 @@
 	if m.mayBounce(h) {
 		b := Bounce{Hit: h.id}
 		if m.set.MayBounceLater {
-			b.ComeBack = min(m.set.MaxComeBack, h.group.Target*patience)
+			b.ComeBack = min(m.set.MaxComeBack, h.group.Target)
 		}
 		m.do(b)
 	} else {
@@ -398,7 +400,7 @@
 	if m.warmth(n) < 1 {
 		n.budget--
 	} else {
-		m.warmSent++
+		m.warmSent[m.side(n)]++
 	}
 	f := Forward{Hit: h.id, Node: n.ID}
 	if !m.set.MayCancel && h.group.Effect != Mutating {
@@ -441,8 +443,8 @@
 		m.answered(n)
 		n.ans += freshness * (e.After - n.ans)
 		m.typical += freshness * freshness * (e.After - m.typical)
-		n.short = min(n.short*(1+freshness/groupSize), n.ans)
-		n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*n.short/n.ans)-1)+1), groupSize*groupSize)
+		n.short = min(n.short, n.ans)
+		n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*n.short/n.ans)-1)+1), groupSize)
 	case NodeError:
 		m.answered(n)
 		bad = 1
@@ -577,7 +579,8 @@
 // ---- Looking around ----
 
 func (m *Marshal) lookAround() {
-	var blue, grn, units, inUse float64
+	var blue, grn, inUse float64
+	var units [2]float64
 	for _, n := range m.list {
 		w := n.Units * m.warmth(n)
 		switch {
@@ -590,12 +593,13 @@
 			blue += w
 		}
 		if n.State == Up && w >= n.Units && n.strikes == 0 {
-			units += n.Units
+			units[m.side(n)] += n.Units
 		}
 		if n.State == Up && n.strikes == 0 {
 			inUse += w
 		}
 		n.fail *= 1 - m.period/m.set.WarmAfter
+		n.short *= 1 + m.period/m.set.WarmAfter/groupSize
 		if m.hush(n) >= leaveHush && m.now >= n.shut {
 			m.strike(n)
 		}
@@ -603,17 +607,25 @@
 	m.units = inUse
 	m.pressure += min(1, m.period/m.set.WarmAfter) * (m.taken/m.period - m.pressure)
 	m.taken = 0
-	if units > 0 {
-		part := min(1, m.period/m.set.OverFor)
-		m.warmRate += part * (m.warmSent/units/m.period - m.warmRate)
+	// Danger: in the last stage few grn nodes are warm; measured against idle blue ones, the cold would get so
+	// little that the warm are crowded. So the busier build's warm nodes set the rate.
+	rate, part := 0.0, min(1, m.period/m.set.OverFor)
+	for k := range units {
+		if units[k] > 0 {
+			m.warmRate[k] += part * (m.warmSent[k]/units[k]/m.period - m.warmRate[k])
+			rate = max(rate, m.warmRate[k])
+		}
+		m.warmSent[k] = 0
+	}
+	if rate > 0 {
+		m.coldRate = rate
 	}
-	m.warmSent = 0
 	for _, n := range m.list {
 		if w := m.warmth(n); w < 1 {
 			// All marshals count together, so each keeps to its own share of what a warm node would take.
-			rate := m.warmRate * n.Units * w
+			rate := m.coldRate * n.Units * w
 			n.budget = min(n.budget+rate*m.period, 1+rate*m.set.OverFor/2)
-			if m.warmRate == 0 && n.out == 0 {
+			if m.coldRate == 0 && n.out == 0 {
 				n.budget = max(n.budget, 1)
 			}
 		}
@@ -679,6 +691,14 @@
 	return m.allowed.at(m.now, m.set.Free)
 }
 
+// side is 1 for nodes of the newest build, 0 for earlier ones.
+func (m *Marshal) side(n *node) int {
+	if n.Build >= m.news.Build {
+		return 1
+	}
+	return 0
+}
+
 func (m *Marshal) onTrial(b Build) bool {
 	return !m.told || b > m.news.Build || b == m.news.Build && m.news.Phase != Released
 }
@@ -784,7 +804,7 @@
 	}
 	grn := s.grn
 	s.grn = nil
-	if s.slower(grn) && median(grn) >= slowGap*slowGap*median(s.kept) &&
+	if s.slower(grn) && quartile(grn) >= slowGap*slowGap*quartile(s.kept) &&
 		m.units*slowGap > m.unitsBefore && m.pressure < slowGap*m.pressureBefore {
 		s.rejects++
 	} else {
@@ -818,6 +838,7 @@
 		// Danger: under a build too slow for its load no two groups agree, so rejections don't wait for that.
 		g.agrees = false
 		g.rejects++
+		g.gap = median(grn) / median(g.kept)
 	case prev != nil && kruskal(prev, grn) < rejectAt:
 		g.rejects = 0
 		g.agrees = kruskal(g.kept, grn) < rejectAt || median(grn) <= median(g.kept)
@@ -860,6 +881,9 @@
 	return (s[(len(s)-1)/2] + s[len(s)/2]) / 2
 }
 
+// quartile is the lower one: answers that hardly waited.
+func quartile(v []float64) float64 { return slices.Sorted(slices.Values(v))[len(v)/4] }
+
 // failing is the strongest sign, in one path group or in all, that the build on trial fails more often than the
 // earlier one: the same test where outcomes are only good or bad, and the number of outcomes. The worst of
 // several nodes is left out: trouble of one node is not its build's.
@@ -952,19 +976,22 @@
 func (m *Marshal) verdict() (Verdict, string) {
 	failing, seen := m.failing()
 	agree, reject, full, back := true, false, 0, false
+	var slow *group
 	for _, g := range m.judged {
 		if g.kept != nil && g.prev != nil && (g != m.pool || full == 0) {
 			full++
 			agree = agree && g.agrees
 		}
 		reject = reject || g.rejects > 0
-		back = back || g.rejects >= backAfter
+		if g.rejects >= backAfter {
+			back, slow = true, g
+		}
 	}
 	if failing >= 2*rejectAt {
 		return VoteBack, fmt.Sprintf("failures, K %.1f", failing)
 	}
 	if back && m.news.Phase == OnTrial {
-		return VoteBack, "clearly slower twice"
+		return VoteBack, fmt.Sprintf("%q clearly slower twice, by %.2f at last", slow.Name, slow.gap)
 	}
 	if m.shared.rejects >= backAfter && m.news.Phase == OnTrial {
 		return VoteBack, "all nodes slower than before the trial"
