--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	order   []*group // path groups in the order of the settings
 	judged  []*group // these, and all of them taken together
 	shared  *group   // blue outcomes in this trial; kept: those from before it, by the same pace
+	floor   pace     // lower quartile of the pool's groups while no build is on trial
 	pool    *group   // all path groups, each against its pace, so that thin marshals fill groups too
 	kinds   map[Kind]*pace
 	earlier Build  // the build before the newest
@@ -65,6 +66,7 @@
 	allowed                  allowance // exposure over all path groups
 	pins                     [pinBuckets / 64]uint64
 	pinBuild                 Build
+	shortest                 Millis     // the least that typical was, creeping up
 	typical                  Millis     // answer time over all nodes
 	warmRate                 [2]float64 // forwards a ms to one unit of warm nodes, of blue and of grn
 	warmSent                 [2]float64 // since the last look
@@ -153,6 +155,7 @@
 	m.allowed.level = set.Free
 	m.period = max(min(m.period, m.other.Target), set.Granularity, 1)
 	m.typical = m.other.Target * patience
+	m.shortest = m.typical
 	return m
 }
 
@@ -242,7 +245,7 @@
 			if n != nil {
 				n.State = Removed
 			}
-			n = &node{ans: m.typical, short: m.typical, limit: groupSize, budget: 1,
+			n = &node{ans: m.typical, short: m.shortest, limit: 2, budget: 1,
 				tally: make([]count, len(m.order)+1)}
 			m.nodes[in.ID] = n
 		}
@@ -302,7 +305,9 @@
 	}
 	m.hits[h.id] = h
 	*m.room(h) += m.cap()
-	m.taken++
+	if !e.Retried {
+		m.taken++
+	}
 	if len(m.first) > 0 || !m.forward(h) {
 		h.waiting = true
 		m.first = append(m.first, h)
@@ -399,8 +404,6 @@
 	}
 	if m.warmth(n) < 1 {
 		n.budget--
-	} else {
-		m.warmSent[m.side(n)]++
 	}
 	f := Forward{Hit: h.id, Node: n.ID}
 	if !m.set.MayCancel && h.group.Effect != Mutating {
@@ -441,10 +444,12 @@
 	switch e.Ending {
 	case Delivered:
 		m.answered(n)
-		n.ans += freshness * (e.After - n.ans)
 		m.typical += freshness * freshness * (e.After - m.typical)
-		n.short = min(n.short, n.ans)
-		n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*n.short/n.ans)-1)+1), groupSize)
+		m.shortest = min(m.shortest, m.typical)
+		m.paceLimit(n, e.After)
+		if m.warmth(n) >= 1 {
+			m.warmSent[m.side(n)]++
+		}
 	case NodeError:
 		m.answered(n)
 		bad = 1
@@ -453,6 +458,8 @@
 		n.limit = max(1, min(n.limit, float64(n.out))*(1-freshness))
 		return
 	case TimedOut:
+		// Danger: a node may go on with work that its client has left, so the limit must fall here too.
+		m.paceLimit(n, max(e.After, n.ans))
 		bad = 1
 	case Unreachable, Broken:
 		if m.now >= n.shut {
@@ -465,6 +472,14 @@
 	n.fail += freshness * (bad - n.fail)
 }
 
+// paceLimit lets the in-flight limit follow the shortest over the present answer time.
+func (m *Marshal) paceLimit(n *node, after Millis) {
+	n.ans += freshness * (after - n.ans)
+	n.short = min(n.short, n.ans)
+	most := max(2, slack*m.other.Target/n.short/float64(m.set.Marshals))
+	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*n.short/n.ans)-1)+1), most)
+}
+
 // serve gives waiting hits their forwards: first forwards before further ones.
 func (m *Marshal) serve() {
 	for _, line := range []*[]*hit{&m.first, &m.again} {
@@ -595,7 +610,7 @@
 		if n.State == Up && w >= n.Units && n.strikes == 0 {
 			units[m.side(n)] += n.Units
 		}
-		if n.State == Up && n.strikes == 0 {
+		if n.State == Up && n.strikes < 2 {
 			inUse += w
 		}
 		n.fail *= 1 - m.period/m.set.WarmAfter
@@ -609,6 +624,7 @@
 	m.taken = 0
 	// Danger: in the last stage few grn nodes are warm; measured against idle blue ones, the cold would get so
 	// little that the warm are crowded. So the busier build's warm nodes set the rate.
+	m.shortest *= 1 + m.period/m.set.WarmAfter/groupSize
 	rate, part := 0.0, min(1, m.period/m.set.OverFor)
 	for k := range units {
 		if units[k] > 0 {
@@ -623,8 +639,8 @@
 	for _, n := range m.list {
 		if w := m.warmth(n); w < 1 {
 			// All marshals count together, so each keeps to its own share of what a warm node would take.
-			rate := m.coldRate * n.Units * w
-			n.budget = min(n.budget+rate*m.period, 1+rate*m.set.OverFor/2)
+			rate := m.coldRate * n.Units * w * math.Sqrt(m.set.OverFactor)
+			n.budget = min(n.budget+rate*m.period, 1+rate*m.set.OverFor*patience)
 			if m.coldRate == 0 && n.out == 0 {
 				n.budget = max(n.budget, 1)
 			}
@@ -773,7 +789,10 @@
 	if m.warmth(n) < 1 || f.build > m.news.Build {
 		return
 	}
-	if blue := f.build < m.news.Build || m.news.Phase == Released; blue {
+	if f.build < m.news.Build || m.news.Phase == Released {
+		if m.news.Phase == OnTrial && m.warmRate[0]*slowGap < m.warmRate[1] {
+			return // Danger: idle blue nodes make a build that carries the load look slow
+		}
 		if e.Ending == Delivered {
 			kind.add(v / g.pace.add(v))
 		}
@@ -781,6 +800,9 @@
 		for _, to := range []*group{g, m.pool} {
 			if to.blue = append(to.blue, v/g.pace.at()/kind.at()); len(to.blue) == groupSize {
 				to.kept, to.blue = to.blue, nil
+				if to == m.pool && m.news.Phase != OnTrial {
+					m.floor.add(quartile(to.kept))
+				}
 			}
 		}
 		return
@@ -804,7 +826,7 @@
 	}
 	grn := s.grn
 	s.grn = nil
-	if s.slower(grn) && quartile(grn) >= slowGap*slowGap*quartile(s.kept) &&
+	if s.slower(grn) && quartile(grn) >= slowGap*slowGap*m.floor.at() &&
 		m.units*slowGap > m.unitsBefore && m.pressure < slowGap*m.pressureBefore {
 		s.rejects++
 	} else {
@@ -993,7 +1015,7 @@
 	if back && m.news.Phase == OnTrial {
 		return VoteBack, fmt.Sprintf("%q clearly slower twice, by %.2f at last", slow.Name, slow.gap)
 	}
-	if m.shared.rejects >= backAfter && m.news.Phase == OnTrial {
+	if m.shared.rejects >= 2*backAfter && m.news.Phase == OnTrial {
 		return VoteBack, "all nodes slower than before the trial"
 	}
 	if m.news.Phase != OnTrial {
