--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,21 +59,22 @@
 	period  Millis
 	ticked  bool
 
-	news                     StageNews // as last told
-	told                     bool
-	stageAt                  Millis // when the stage began
-	share                    float64
-	allowed                  allowance // exposure over all path groups
-	pins                     [pinBuckets / 64]uint64
-	pinBuild                 Build
-	shortest                 Millis     // the least that typical was, creeping up
-	typical                  Millis     // answer time over all nodes
-	warmRate                 [2]float64 // forwards a ms to one unit of warm nodes, of blue and of grn
-	warmSent                 [2]float64 // since the last look
-	coldRate                 float64    // the busier build's, as last seen
-	pressure, pressureBefore float64    // hits a ms, now and when the build was offered
-	units, unitsBefore       float64    // of nodes in use
-	taken                    float64    // since the last look
+	news       StageNews // as last told
+	told       bool
+	stageAt    Millis // when the stage began
+	share      float64
+	allowed    allowance // exposure over all path groups
+	pins       [pinBuckets / 64]uint64
+	pinBuild   Build
+	shortest   Millis     // the least that typical was, creeping up
+	typical    Millis     // answer time over all nodes
+	warmRate   [2]float64 // forwards a ms to one unit of warm nodes, of blue and of grn
+	warmSent   [2]float64 // since the last look
+	coldRate   float64    // the busier build's, as last seen
+	pressure   float64    // hits a ms, first tries only
+	units      float64    // of nodes in use, by what they can do
+	loadBefore float64    // load when the build was offered
+	taken      float64    // since the last look
 
 	vote    Vote // as last cast
 	voteAt  Millis
@@ -109,6 +110,7 @@
 	limit   float64 // forwards out at most
 	strikes int     // times in a row that it was found unreachable or silent
 	shut    Millis  // nothing before, while there are strikes
+	rest    Millis  // nothing before, after it was full
 	budget  float64 // forwards that a cold node may still get
 }
 
@@ -455,7 +457,9 @@
 		bad = 1
 	case NodeFull:
 		m.answered(n)
-		n.limit = max(1, min(n.limit, float64(n.out))*(1-freshness))
+		// Work turned away loads a node too: it gets a rest.
+		n.limit = max(freshness, min(n.limit, float64(n.out+1))*(1-freshness))
+		n.rest = m.now + n.ans
 		return
 	case TimedOut:
 		// Danger: a node may go on with work that its client has left, so the limit must fall here too.
@@ -477,7 +481,8 @@
 	n.ans += freshness * (after - n.ans)
 	n.short = min(n.short, n.ans)
 	most := max(2, slack*m.other.Target/n.short/float64(m.set.Marshals))
-	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*n.short/n.ans)-1)+1), most)
+	grow := min(1, m.other.Target/n.short/float64(m.set.Marshals)/slack)
+	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*n.short/n.ans)-1)+grow), most)
 }
 
 // serve gives waiting hits their forwards: first forwards before further ones.
@@ -546,7 +551,10 @@
 	if h.group.Effect == Mutating {
 		hush *= 2 // what may not run again is lost with the node
 	}
-	return hush < avoidHush && float64(n.out) < max(1, n.limit)
+	if n.out == 0 && n.limit < 1 { // less than one at a time: a pause after each
+		return m.now-n.since >= n.ans*(1/n.limit-1) && m.now >= n.rest
+	}
+	return hush < avoidHush && float64(n.out) < n.limit && m.now >= n.rest
 }
 
 func (m *Marshal) better(h *hit, from []*node) (*node, float64) {
@@ -603,7 +611,7 @@
 		case n.Build >= m.news.Build:
 			// Danger: cold nodes lose to warm ones in the choice, so their share would crowd grn's warm nodes and
 			// make a good build look slow.
-			grn += w * m.warmth(n)
+			grn += w * math.Pow(m.warmth(n), 3)
 		default:
 			blue += w
 		}
@@ -815,7 +823,7 @@
 }
 
 // sampleShared judges the earlier build's own nodes against the time before the trial, for a build that slows
-// all nodes alike. Lost nodes or more hits explain a slowdown too, so it only counts without them.
+// all nodes alike. Fewer warm nodes or more hits explain a slowdown too, so with them it must be the greater.
 func (m *Marshal) sampleShared(g *group, v float64, kind *pace) {
 	if m.news.Phase != OnTrial || m.news.Stage == 0 || g.before == 0 {
 		return
@@ -826,14 +834,16 @@
 	}
 	grn := s.grn
 	s.grn = nil
-	if s.slower(grn) && quartile(grn) >= slowGap*slowGap*m.floor.at() &&
-		m.units*slowGap > m.unitsBefore && m.pressure < slowGap*m.pressureBefore {
+	more := max(1, m.load()/m.loadBefore)
+	if s.slower(grn) && quartile(grn) >= slowGap*slowGap*more*more*more*m.floor.at() {
 		s.rejects++
 	} else {
 		s.rejects = 0
 	}
 }
 
+func (m *Marshal) load() float64 { return (m.pressure + 1e-9) / max(m.units, 1e-9) }
+
 // pace is a smoothed mean, exact at first.
 type pace struct{ mean, n float64 }
 
@@ -981,7 +991,7 @@
 		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
 	}
 	if e.Build != old.Build {
-		m.unitsBefore, m.pressureBefore = m.units, m.pressure
+		m.loadBefore = m.load()
 		m.shared = &group{kept: m.pool.kept}
 		for _, g := range m.order {
 			g.before = g.pace.mean
