--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,106 +37,80 @@
 
 // Marshal is one instance.
 type Marshal struct {
-	set     Settings
-	seed    uint64
-	draws   uint64
-	now     Millis
-	acts    []Action
-	groups  map[GroupName]*group
-	order   []*group // path groups in the order of the settings
-	judged  []*group // these, and all of them taken together
-	shared  *group   // blue outcomes in this trial; kept: those from before it, by the same pace
-	floor   pace     // lower quartile of the pool's groups while no build is on trial
-	pool    *group   // all path groups, each against its pace, so that thin marshals fill groups too
-	kinds   map[Kind]*pace
-	earlier Build  // the build before the newest
-	other   *group // hits of a path group that the settings don't name: the most careful effect
-	nodes   map[NodeID]*node
-	list    []*node        // nodes by id; the list of nodes empties it
-	hits    map[HitID]*hit // open hits; their endings empty it
-	first   []*hit         // hits waiting for their first forward; ends by patience
-	again   []*hit         // hits waiting for a further forward; the same
-	period  Millis
-	ticked  bool
-
-	news       StageNews // as last told
-	told       bool
-	stageAt    Millis // when the stage began
-	share      float64
-	allowed    allowance // exposure over all path groups
-	pins       [pinBuckets / 64]uint64
-	pinBuild   Build
-	shortest   Millis     // the least that typical was, creeping up
-	typical    Millis     // answer time over all nodes
-	warmRate   [2]float64 // forwards a ms to one unit of warm nodes, of blue and of grn
-	warmSent   [2]float64 // since the last look
-	coldRate   float64    // the busier build's, as last seen
-	pressure   float64    // hits a ms, first tries only
-	units      float64    // of nodes in use, by what they can do
-	loadBefore float64    // load when the build was offered
-	taken      float64    // since the last look
-
-	vote    Vote // as last cast
-	voteAt  Millis
-	voteDue Millis // no vote before
-	voteOK  bool
-	why     string
+	set             Settings
+	seed, draws     uint64
+	now, period     Millis
+	ticked, told    bool
+	acts            []Action
+	groups          map[GroupName]*group
+	order, judged   []*group // path groups as in the settings; these and the pool
+	other           *group   // hits of a path group that the settings don't name, with the most careful effect
+	pool            *group   // all path groups, each by its pace, so that thin marshals fill groups too
+	before          *group   // the pool's group from before the trial, for builds that slow all nodes
+	nodes           map[NodeID]*node
+	list            []*node        // nodes by id; the list of nodes empties it
+	hits            map[HitID]*hit // open hits; their endings empty it
+	first, again    []*hit         // waiting for a first or a further forward; patience empties them
+	kinds           map[Kind]*pace // kinds of machine in the list
+	floor           pace           // lower quartile of the pool's groups while no build is on trial
+	news            StageNews      // as last told
+	stageAt         Millis
+	share           float64 // of hits that go to grn
+	room            allowance
+	pins            [pinBuckets / 64]uint64 // hashes of keys that pinBuild answered; a way back empties it
+	pinBuild        Build
+	typical, least  Millis     // answer time over all nodes, and the least it was, creeping up
+	rate, delivered [2]float64 // answers a ms from one unit of warm nodes, of blue and grn; since the last look
+	coldRate        float64    // the busier build's rate, as last seen
+	vote            Vote
+	voteAt, voteDue Millis // when it was cast; no other before
+	voteOK          bool
 }
 
 // group is a path group with what its outcomes say of the builds.
 type group struct {
 	PathGroup
-	index   int
-	pace    pace    // of the earlier build
-	before  float64 // that pace when the build was offered
-	allowed allowance
-	blue    []float64 // filling group of the earlier build
-	kept    []float64 // its last full group
-	grn     []float64 // filling group of the build on trial
-	prev    []float64 // its last full group
-	agrees  bool
-	gap     float64 // of medians, at the last clear rejection
-	rejects int
+	index                 int
+	room                  allowance
+	pace                  pace      // of the earlier build
+	paceBefore            float64   // as it was when the build was offered
+	blue, kept, grn, prev []float64 // filling and last full groups of the earlier build and of the one on trial
+	keptRate              float64   // the earlier build's rate when its group was full
+	agrees                bool
+	rejects               int
+	gap                   float64 // of medians, at the last look
 }
 
 type node struct {
 	Node
-	tally   []count // outcomes by path group, since the build was offered
-	out     int
-	since   Millis  // last answer, or the first forward out after it
-	ans     Millis  // answer time, smoothed
-	short   Millis  // shortest smoothed answer time, creeping up
-	fail    float64 // share of failures, smoothed
-	limit   float64 // forwards out at most
-	strikes int     // times in a row that it was found unreachable or silent
-	shut    Millis  // nothing before, while there are strikes
-	rest    Millis  // nothing before, after it was full
-	budget  float64 // forwards that a cold node may still get
+	tally         []count // outcomes by path group, since the build was offered
+	out           int
+	since         Millis  // last answer, or the first forward out after it
+	ans, short    Millis  // smoothed answer time, and its least, creeping up
+	fail          float64 // smoothed share of failures
+	limit, budget float64 // forwards out at most; forwards that a cold node may still get
+	strikes       int     // times in a row that it was found unreachable or silent
+	shut          Millis  // nothing before: after a strike, or a short rest after it was full
 }
 
 type count struct{ good, bad float64 }
 
 type hit struct {
-	id       HitID
-	group    *group
-	key      uint32 // hash; 0 without a key
-	place    float64
-	taken    Millis
-	ends     Millis
-	hint     Millis
-	forwards []forward
-	out      int
-	done     bool // final answer given or hit gone
-	waiting  bool
+	id                HitID
+	group             *group
+	key               uint32  // hash; 0 without a key
+	place             float64 // from 0 to 1, the lowest go to grn first
+	taken, ends, hint Millis
+	forwards          []forward
+	out               int
+	done, waiting     bool // final answer given or hit gone; in a line
 }
 
 type forward struct {
-	node  *node
-	build Build
-	at    Millis
-	out   bool
-	ran   bool // may have run
-	moved bool // called off, or copied
+	node            *node
+	build           Build
+	at              Millis
+	out, ran, moved bool // still out; may have run; called off or copied
 }
 
 // New makes an instance that knows nothing but its settings.
@@ -145,19 +119,19 @@
 		hits: map[HitID]*hit{}, kinds: map[Kind]*pace{}, period: math.Inf(1)}
 	m.other = &group{index: len(set.Groups)}
 	for i, g := range set.Groups {
-		pg := &group{PathGroup: g, index: i, allowed: allowance{level: set.Free}}
+		pg := &group{PathGroup: g, index: i, room: allowance{level: set.Free}}
 		m.groups[g.Name] = pg
 		m.order = append(m.order, pg)
 		m.period = min(m.period, g.Target*tickShare)
 		m.other.Target = max(m.other.Target, g.Target)
 	}
-	m.pool, m.shared = &group{}, &group{}
+	m.pool, m.before = &group{}, &group{}
 	m.judged = append(slices.Clone(m.order), m.pool)
-	m.other.allowed.level = set.Free
-	m.allowed.level = set.Free
+	m.other.room.level = set.Free
+	m.room.level = set.Free
 	m.period = max(min(m.period, m.other.Target), set.Granularity, 1)
 	m.typical = m.other.Target * patience
-	m.shortest = m.typical
+	m.least = m.typical
 	return m
 }
 
@@ -247,7 +221,7 @@
 			if n != nil {
 				n.State = Removed
 			}
-			n = &node{ans: m.typical, short: m.shortest, limit: 2, budget: 1,
+			n = &node{ans: m.typical, short: m.least, limit: 2, budget: 1,
 				tally: make([]count, len(m.order)+1)}
 			m.nodes[in.ID] = n
 		}
@@ -306,10 +280,7 @@
 		h.place = float64(h.key) / (1 << 32)
 	}
 	m.hits[h.id] = h
-	*m.room(h) += m.cap()
-	if !e.Retried {
-		m.taken++
-	}
+	*m.left(h) += m.cap()
 	if len(m.first) > 0 || !m.forward(h) {
 		h.waiting = true
 		m.first = append(m.first, h)
@@ -378,7 +349,7 @@
 	}
 	if m.onTrial(n.Build) {
 		guarded := m.stageOf(n.Build) < s.Guarded && g.Effect != Repeatable
-		if m.capOf(n.Build) <= 0 || guarded || *m.room(h) < 1 {
+		if m.capOf(n.Build) <= 0 || guarded || *m.left(h) < 1 {
 			return false
 		}
 	}
@@ -402,7 +373,7 @@
 	h.waiting = false
 	h.forwards = append(h.forwards, forward{node: n, build: n.Build, at: m.now, out: true, ran: true})
 	if m.onTrial(n.Build) {
-		*m.room(h)--
+		*m.left(h)--
 	}
 	if m.warmth(n) < 1 {
 		n.budget--
@@ -447,10 +418,10 @@
 	case Delivered:
 		m.answered(n)
 		m.typical += freshness * freshness * (e.After - m.typical)
-		m.shortest = min(m.shortest, m.typical)
+		m.least = min(m.least, m.typical)
 		m.paceLimit(n, e.After)
 		if m.warmth(n) >= 1 {
-			m.warmSent[m.side(n)]++
+			m.delivered[m.side(n)]++
 		}
 	case NodeError:
 		m.answered(n)
@@ -459,7 +430,7 @@
 		m.answered(n)
 		// Work turned away loads a node too: it gets a rest.
 		n.limit = max(freshness, min(n.limit, float64(n.out+1))*(1-freshness))
-		n.rest = m.now + n.ans
+		n.shut = max(n.shut, m.now+n.ans)
 		return
 	case TimedOut:
 		// Danger: a node may go on with work that its client has left, so the limit must fall here too.
@@ -552,9 +523,9 @@
 		hush *= 2 // what may not run again is lost with the node
 	}
 	if n.out == 0 && n.limit < 1 { // less than one at a time: a pause after each
-		return m.now-n.since >= n.ans*(1/n.limit-1) && m.now >= n.rest
+		return m.now-n.since >= n.ans*(1/n.limit-1) && m.now >= n.shut
 	}
-	return hush < avoidHush && float64(n.out) < n.limit && m.now >= n.rest
+	return hush < avoidHush && float64(n.out) < n.limit && m.now >= n.shut
 }
 
 func (m *Marshal) better(h *hit, from []*node) (*node, float64) {
@@ -602,51 +573,40 @@
 // ---- Looking around ----
 
 func (m *Marshal) lookAround() {
-	var blue, grn, inUse float64
-	var units [2]float64
+	var units, use [2]float64 // warm units, and what all can do, of blue and grn
 	for _, n := range m.list {
-		w := n.Units * m.warmth(n)
-		switch {
-		case n.State != Up || n.strikes > 0:
-		case n.Build >= m.news.Build:
-			// Danger: cold nodes lose to warm ones in the choice, so their share would crowd grn's warm nodes and
-			// make a good build look slow.
-			grn += w * math.Pow(m.warmth(n), 3)
-		default:
-			blue += w
-		}
-		if n.State == Up && w >= n.Units && n.strikes == 0 {
-			units[m.side(n)] += n.Units
-		}
-		if n.State == Up && n.strikes < 2 {
-			inUse += w
-		}
 		n.fail *= 1 - m.period/m.set.WarmAfter
 		n.short *= 1 + m.period/m.set.WarmAfter/groupSize
 		if m.hush(n) >= leaveHush && m.now >= n.shut {
 			m.strike(n)
 		}
+		if w := m.warmth(n); n.State == Up && n.strikes == 0 {
+			if w >= 1 {
+				units[m.side(n)] += n.Units
+			}
+			// Danger: cold nodes lose to warm ones in the choice, so their whole share would crowd grn's warm nodes
+			// and make a good build look slow.
+			use[m.side(n)] += n.Units * math.Pow(w, float64(1+3*m.side(n)))
+		}
 	}
-	m.units = inUse
-	m.pressure += min(1, m.period/m.set.WarmAfter) * (m.taken/m.period - m.pressure)
-	m.taken = 0
 	// Danger: in the last stage few grn nodes are warm; measured against idle blue ones, the cold would get so
 	// little that the warm are crowded. So the busier build's warm nodes set the rate.
-	m.shortest *= 1 + m.period/m.set.WarmAfter/groupSize
-	rate, part := 0.0, min(1, m.period/m.set.OverFor)
+	rate := 0.0
 	for k := range units {
 		if units[k] > 0 {
-			m.warmRate[k] += part * (m.warmSent[k]/units[k]/m.period - m.warmRate[k])
-			rate = max(rate, m.warmRate[k])
+			m.rate[k] += min(1, m.period/m.set.OverFor) * (m.delivered[k]/units[k]/m.period - m.rate[k])
+			rate = max(rate, m.rate[k])
 		}
-		m.warmSent[k] = 0
+		m.delivered[k] = 0
 	}
 	if rate > 0 {
 		m.coldRate = rate
 	}
+	m.least *= 1 + m.period/m.set.WarmAfter/groupSize
 	for _, n := range m.list {
+		// All marshals count together, so each keeps to its own share of what a warm node takes, and answers count,
+		// not forwards: those may be more than a node can do.
 		if w := m.warmth(n); w < 1 {
-			// All marshals count together, so each keeps to its own share of what a warm node would take.
 			rate := m.coldRate * n.Units * w * math.Sqrt(m.set.OverFactor)
 			n.budget = min(n.budget+rate*m.period, 1+rate*m.set.OverFor*patience)
 			if m.coldRate == 0 && n.out == 0 {
@@ -654,12 +614,12 @@
 			}
 		}
 	}
-	m.share = 0
-	if all := max(blue, grn); all > 0 && m.cap() > 0 {
-		if m.set.InPlace {
-			all = blue + grn
-		}
-		m.share = min(1, grn/all)
+	all := max(use[0], use[1])
+	if m.set.InPlace {
+		all = use[0] + use[1]
+	}
+	if m.share = 0; all > 0 && m.cap() > 0 {
+		m.share = min(1, use[1]/all)
 	}
 	m.moveOff()
 	m.serve()
@@ -708,11 +668,11 @@
 	return &a.level
 }
 
-func (m *Marshal) room(h *hit) *float64 {
+func (m *Marshal) left(h *hit) *float64 {
 	if m.set.PerGroup {
-		return h.group.allowed.at(m.now, m.set.Free)
+		return h.group.room.at(m.now, m.set.Free)
 	}
-	return m.allowed.at(m.now, m.set.Free)
+	return m.room.at(m.now, m.set.Free)
 }
 
 // side is 1 for nodes of the newest build, 0 for earlier ones.
@@ -797,53 +757,32 @@
 	if m.warmth(n) < 1 || f.build > m.news.Build {
 		return
 	}
-	if f.build < m.news.Build || m.news.Phase == Released {
-		if m.news.Phase == OnTrial && m.warmRate[0]*slowGap < m.warmRate[1] {
-			return // Danger: idle blue nodes make a build that carries the load look slow
-		}
-		if e.Ending == Delivered {
-			kind.add(v / g.pace.add(v))
-		}
-		m.sampleShared(g, v, kind)
+	if f.build == m.news.Build && m.news.Phase != Released {
 		for _, to := range []*group{g, m.pool} {
-			if to.blue = append(to.blue, v/g.pace.at()/kind.at()); len(to.blue) == groupSize {
-				to.kept, to.blue = to.blue, nil
-				if to == m.pool && m.news.Phase != OnTrial {
-					m.floor.add(quartile(to.kept))
-				}
+			if to.grn = append(to.grn, v/g.pace.at()/kind.at()); len(to.grn) == groupSize {
+				m.judge(to)
 			}
 		}
 		return
 	}
+	if e.Ending == Delivered {
+		kind.add(v / g.pace.add(v))
+	}
 	for _, to := range []*group{g, m.pool} {
-		if to.grn = append(to.grn, v/g.pace.at()/kind.at()); len(to.grn) == groupSize {
-			to.judge()
+		if to.blue = append(to.blue, v/g.pace.at()/kind.at()); len(to.blue) == groupSize {
+			to.kept, to.blue, to.keptRate = to.blue, nil, m.rate[m.side(n)]
+			if to == m.pool && m.news.Phase != OnTrial {
+				m.floor.add(quartile(to.kept))
+			}
 		}
 	}
-}
-
-// sampleShared judges the earlier build's own nodes against the time before the trial, for a build that slows
-// all nodes alike. Fewer warm nodes or more hits explain a slowdown too, so with them it must be the greater.
-func (m *Marshal) sampleShared(g *group, v float64, kind *pace) {
-	if m.news.Phase != OnTrial || m.news.Stage == 0 || g.before == 0 {
-		return
-	}
-	s := m.shared
-	if s.grn = append(s.grn, v/g.before/kind.at()); len(s.grn) < groupSize {
-		return
-	}
-	grn := s.grn
-	s.grn = nil
-	more := max(1, m.load()/m.loadBefore)
-	if s.slower(grn) && quartile(grn) >= slowGap*slowGap*more*more*more*m.floor.at() {
-		s.rejects++
-	} else {
-		s.rejects = 0
+	if b := m.before; m.news.Phase == OnTrial && g.paceBefore > 0 {
+		if b.grn = append(b.grn, v/g.paceBefore/kind.at()); len(b.grn) == groupSize {
+			m.judgeAll(b)
+		}
 	}
 }
 
-func (m *Marshal) load() float64 { return (m.pressure + 1e-9) / max(m.units, 1e-9) }
-
 // pace is a smoothed mean, exact at first.
 type pace struct{ mean, n float64 }
 
@@ -861,25 +800,49 @@
 }
 
 // judge compares a full group of the build on trial.
-func (g *group) judge() {
+func (m *Marshal) judge(g *group) {
 	grn, prev := g.grn, g.prev
 	g.grn, g.prev = nil, grn
 	switch {
 	case g.kept == nil:
-	case g.slower(grn):
+	case m.slower(g, grn, 1, 1):
 		// Danger: under a build too slow for its load no two groups agree, so rejections don't wait for that.
 		g.agrees = false
 		g.rejects++
-		g.gap = median(grn) / median(g.kept)
 	case prev != nil && kruskal(prev, grn) < rejectAt:
 		g.rejects = 0
 		g.agrees = kruskal(g.kept, grn) < rejectAt || median(grn) <= median(g.kept)
 	}
 }
 
+// judgeAll judges the earlier build's own nodes against the time before the trial, for a build that slows all
+// nodes alike. It goes by the lower quartile, answers that hardly waited, and by a wider gap.
+func (m *Marshal) judgeAll(b *group) {
+	grn := b.grn
+	b.grn = nil
+	if m.slower(b, grn, 0, slowGap) && quartile(grn) >= slowGap*slowGap*m.more(b, 0)*m.floor.at() {
+		b.rejects++
+	} else {
+		b.rejects = 0
+	}
+}
+
 // slower tells whether outcomes are rejected and clearly slower than the kept group.
-func (g *group) slower(grn []float64) bool {
-	return g.kept != nil && len(grn) > 0 && kruskal(g.kept, grn) >= rejectAt && median(grn) >= slowGap*median(g.kept)
+func (m *Marshal) slower(g *group, got []float64, side int, wider float64) bool {
+	if g.kept == nil || len(got) == 0 || kruskal(g.kept, got) < rejectAt {
+		return false
+	}
+	g.gap = median(got) / median(g.kept)
+	return g.gap >= slowGap*wider*m.more(g, side)
+}
+
+// more widens the gap when nodes carry more than those of the kept group did: lost nodes, a rush of hits or a
+// crowd on few warm nodes slow any build. A slow build answers no more than before, so it is not spared.
+func (m *Marshal) more(g *group, side int) float64 {
+	if g.keptRate == 0 {
+		return 1
+	}
+	return math.Pow(min(max(m.rate[side]/g.keptRate, 1), slowGap*slowGap), 3)
 }
 
 // kruskal is the statistic of the rank test for two groups, ties at their middle rank.
@@ -991,10 +954,9 @@
 		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
 	}
 	if e.Build != old.Build {
-		m.loadBefore = m.load()
-		m.shared = &group{kept: m.pool.kept}
+		m.before = &group{kept: m.pool.kept, keptRate: m.pool.keptRate}
 		for _, g := range m.order {
-			g.before = g.pace.mean
+			g.paceBefore = g.pace.mean
 		}
 		for _, n := range m.list {
 			clear(n.tally)
@@ -1025,7 +987,7 @@
 	if back && m.news.Phase == OnTrial {
 		return VoteBack, fmt.Sprintf("%q clearly slower twice, by %.2f at last", slow.Name, slow.gap)
 	}
-	if m.shared.rejects >= 2*backAfter && m.news.Phase == OnTrial {
+	if m.before.rejects >= 2*backAfter && m.news.Phase == OnTrial {
 		return VoteBack, "all nodes slower than before the trial"
 	}
 	if m.news.Phase != OnTrial {
@@ -1035,7 +997,7 @@
 	if m.news.Stage+1 < len(m.set.Stages) {
 		next = m.set.Stages[m.news.Stage+1]
 	}
-	reject = reject || m.shared.rejects > 0
+	reject = reject || m.before.rejects > 0
 	switch {
 	case m.set.Control == ByClock && reject:
 		return VoteHold, "clearly slower once"
@@ -1045,7 +1007,7 @@
 		return VoteOn, "groups agree"
 	case m.vote.Verdict == VoteOn && !reject:
 		return VoteOn, "no later group is clearly slower"
-	case full == 0 && !reject && m.now-m.stageAt >= blindAfter && seen >= groupSize*next && !m.pool.slower(m.pool.grn):
+	case full == 0 && !reject && m.now-m.stageAt >= blindAfter && seen >= groupSize*next && !m.slower(m.pool, m.pool.grn, 1, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, ""
