--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,34 +37,35 @@
 
 // Marshal is one instance.
 type Marshal struct {
-	set             Settings
-	seed, draws     uint64
-	now, period     Millis
-	ticked, told    bool
-	acts            []Action
-	groups          map[GroupName]*group
-	order, judged   []*group // path groups as in the settings; these and the pool
-	other           *group   // hits of a path group that the settings don't name, with the most careful effect
-	pool            *group   // all path groups, each by its pace, so that thin marshals fill groups too
-	before          *group   // the pool's group from before the trial, for builds that slow all nodes
-	nodes           map[NodeID]*node
-	list            []*node        // nodes by id; the list of nodes empties it
-	hits            map[HitID]*hit // open hits; their endings empty it
-	first, again    []*hit         // waiting for a first or a further forward; patience empties them
-	kinds           map[Kind]*pace // kinds of machine in the list
-	floor           pace           // lower quartile of the pool's groups while no build is on trial
-	news            StageNews      // as last told
-	stageAt         Millis
-	share           float64 // of hits that go to grn
-	room            allowance
-	pins            [pinBuckets / 64]uint64 // hashes of keys that pinBuild answered; a way back empties it
-	pinBuild        Build
-	typical, least  Millis     // answer time over all nodes, and the least it was, creeping up
-	rate, delivered [2]float64 // answers a ms from one unit of warm nodes, of blue and grn; since the last look
-	coldRate        float64    // the busier build's rate, as last seen
-	vote            Vote
-	voteAt, voteDue Millis // when it was cast; no other before
-	voteOK          bool
+	set               Settings
+	seed, draws       uint64
+	now, period       Millis
+	ticked, told      bool
+	acts              []Action
+	groups            map[GroupName]*group
+	order, judged     []*group // path groups as in the settings; these and the pool
+	other             *group   // hits of a path group that the settings don't name, with the most careful effect
+	pool              *group   // all path groups, each by its pace, so that thin marshals fill groups too
+	before            *group   // the pool's group from before the trial, for builds that slow all nodes
+	nodes             map[NodeID]*node
+	list              []*node        // nodes by id; the list of nodes empties it
+	hits              map[HitID]*hit // open hits; their endings empty it
+	first, again      []*hit         // waiting for a first or a further forward; patience empties them
+	kinds             map[Kind]*pace // kinds of machine in the list
+	floor             pace           // lower quartile of the pool's groups while no build is on trial
+	news              StageNews      // as last told
+	stageAt           Millis
+	share             float64 // of hits that go to grn
+	room              allowance
+	pins              [pinBuckets / 64]uint64 // hashes of keys that pinBuild answered; a way back empties it
+	pinBuild          Build
+	typical, least    Millis     // answer time over all nodes, and the least it was, creeping up
+	rate, delivered   [2]float64 // answers a ms from one unit of warm nodes, of blue and grn; since the last look
+	coldRate          float64    // the busier build's rate, as last seen
+	troubleAt, calmAt Millis     // a node was last found out of reach; all nodes were last not slower
+	vote              Vote
+	voteAt, voteDue   Millis // when it was cast; no other before
+	voteOK            bool
 }
 
 // group is a path group with what its outcomes say of the builds.
@@ -132,6 +133,7 @@
 	m.period = max(min(m.period, m.other.Target), set.Granularity, 1)
 	m.typical = m.other.Target * patience
 	m.least = m.typical
+	m.troubleAt = math.Inf(-1)
 	return m
 }
 
@@ -260,7 +262,9 @@
 }
 
 func (m *Marshal) strike(n *node) {
-	n.strikes++
+	if n.strikes++; n.strikes > 1 {
+		m.troubleAt = m.now
+	}
 	n.shut = m.now + min(m.set.WarmAfter, m.period/tickShare*math.Pow(2, float64(n.strikes-1)))*(0.5+m.chance())
 }
 
@@ -820,10 +824,11 @@
 func (m *Marshal) judgeAll(b *group) {
 	grn := b.grn
 	b.grn = nil
-	if m.slower(b, grn, 0, slowGap) && quartile(grn) >= slowGap*slowGap*m.more(b, 0)*m.floor.at() {
+	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, grn, 0, slowGap) &&
+		quartile(grn) >= slowGap*slowGap*m.more(b, 0)*m.floor.at() {
 		b.rejects++
 	} else {
-		b.rejects = 0
+		b.rejects, m.calmAt = 0, m.now
 	}
 }
 
@@ -987,7 +992,7 @@
 	if back && m.news.Phase == OnTrial {
 		return VoteBack, fmt.Sprintf("%q clearly slower twice, by %.2f at last", slow.Name, slow.gap)
 	}
-	if m.before.rejects >= 2*backAfter && m.news.Phase == OnTrial {
+	if m.before.rejects >= 2*backAfter && m.now-m.calmAt >= blindAfter/2 && m.news.Phase == OnTrial {
 		return VoteBack, "all nodes slower than before the trial"
 	}
 	if m.news.Phase != OnTrial {
