--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,12 +26,13 @@
 
 // Ours; shares of figures from the settings or of what is seen.
 const (
-	freshness  = 0.15    // weight of the newest answer in what is known of a node
-	avoidHush  = 4.0     // silence, as -log of its likelihood, from which a node gets nothing new
-	leaveHush  = 8.0     // and from which what it holds is moved
-	slack      = 2.0     // answer time over the shortest at which the in-flight limit starts to fall
-	patience   = 0.25    // of the target latency: the wait for a first forward
-	tickShare  = 0.05    // of the shortest target latency: the time between looks around
+	freshness  = 0.15 // weight of the newest answer in what is known of a node
+	avoidHush  = 4.0  // silence, as -log of its likelihood, from which a node gets nothing new
+	leaveHush  = 8.0  // and from which what it holds is moved
+	slack      = 2.0  // answer time over the shortest at which the in-flight limit starts to fall
+	patience   = 0.25 // of the target latency: the wait for a first forward
+	tickShare  = 0.05 // of the shortest target latency: the time between looks around
+	tiny       = 1e-9
 	pinBuckets = 1 << 16 // key hashes remembered for keys that may not go back
 )
 
@@ -59,6 +60,8 @@
 	room              allowance
 	pins              [pinBuckets / 64]uint64 // hashes of keys that pinBuild answered; a way back empties it
 	pinBuild          Build
+	pressure, load    float64    // first tries a ms; the same to what one unit of all nodes can do
+	taken             float64    // first tries since the last look
 	typical, least    Millis     // answer time over all nodes, and the least it was, creeping up
 	rate, delivered   [2]float64 // answers a ms from one unit of warm nodes, of blue and grn; since the last look
 	coldRate          float64    // the busier build's rate, as last seen
@@ -76,7 +79,7 @@
 	pace                  pace      // of the earlier build
 	paceBefore            float64   // as it was when the build was offered
 	blue, kept, grn, prev []float64 // filling and last full groups of the earlier build and of the one on trial
-	keptRate              float64   // the earlier build's rate when its group was full
+	keptRate, keptLoad    float64   // the earlier build's rate, and the load, when its group was full
 	agrees                bool
 	rejects               int
 	gap                   float64 // of medians, at the last look
@@ -284,6 +287,9 @@
 		h.place = float64(h.key) / (1 << 32)
 	}
 	m.hits[h.id] = h
+	if !e.Retried {
+		m.taken++
+	}
 	*m.left(h) += m.cap()
 	if len(m.first) > 0 || !m.forward(h) {
 		h.waiting = true
@@ -577,6 +583,7 @@
 // ---- Looking around ----
 
 func (m *Marshal) lookAround() {
+	full := 0.0
 	var units, use [2]float64 // warm units, and what all can do, of blue and grn
 	for _, n := range m.list {
 		n.fail *= 1 - m.period/m.set.WarmAfter
@@ -585,6 +592,7 @@
 			m.strike(n)
 		}
 		if w := m.warmth(n); n.State == Up && n.strikes == 0 {
+			full += n.Units * w
 			if w >= 1 {
 				units[m.side(n)] += n.Units
 			}
@@ -595,6 +603,9 @@
 	}
 	// Danger: in the last stage few grn nodes are warm; measured against idle blue ones, the cold would get so
 	// little that the warm are crowded. So the busier build's warm nodes set the rate.
+	m.pressure += min(1, m.period/m.set.OverFor) * (m.taken/m.period - m.pressure)
+	m.taken = 0
+	m.load = m.pressure / max(full, tiny)
 	rate := 0.0
 	for k := range units {
 		if units[k] > 0 {
@@ -774,7 +785,7 @@
 	}
 	for _, to := range []*group{g, m.pool} {
 		if to.blue = append(to.blue, v/g.pace.at()/kind.at()); len(to.blue) == groupSize {
-			to.kept, to.blue, to.keptRate = to.blue, nil, m.rate[m.side(n)]
+			to.kept, to.blue, to.keptRate, to.keptLoad = to.blue, nil, m.rate[m.side(n)], m.load
 			if to == m.pool && m.news.Phase != OnTrial {
 				m.floor.add(quartile(to.kept))
 			}
@@ -841,13 +852,18 @@
 	return g.gap >= slowGap*wider*m.more(g, side)
 }
 
-// more widens the gap when nodes carry more than those of the kept group did: lost nodes, a rush of hits or a
-// crowd on few warm nodes slow any build. A slow build answers no more than before, so it is not spared.
+// more widens the gap when nodes carry more than those of the kept group did: lost or cold nodes, a rush of hits
+// or a crowd on few warm nodes slow any build; far more explains any slowness. A slow build answers no more than
+// before and draws no more first tries, so it is not spared.
 func (m *Marshal) more(g *group, side int) float64 {
+	r := max(1, m.rate[side]/max(g.keptRate, tiny), m.load/max(g.keptLoad, tiny))
 	if g.keptRate == 0 {
-		return 1
+		r = max(1, m.load/max(g.keptLoad, tiny))
+	}
+	if r >= slowGap {
+		return math.Inf(1)
 	}
-	return math.Pow(min(max(m.rate[side]/g.keptRate, 1), slowGap*slowGap), 3)
+	return r * r * r
 }
 
 // kruskal is the statistic of the rank test for two groups, ties at their middle rank.
@@ -959,7 +975,7 @@
 		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
 	}
 	if e.Build != old.Build {
-		m.before = &group{kept: m.pool.kept, keptRate: m.pool.keptRate}
+		m.before = &group{kept: m.pool.kept, keptRate: m.pool.keptRate, keptLoad: m.pool.keptLoad}
 		for _, g := range m.order {
 			g.paceBefore = g.pace.mean
 		}
