--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,99 @@
+// Package stats holds the arithmetic that the decision module uses: the rank test's statistic, medians, smoothed
+// means and drawn numbers. It decides nothing and holds no tuned value.
+package stats
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"slices"
+)
+
+// KruskalWallis is the statistic of the rank test for two groups, ties at their middle rank. It is 0 where no rank
+// differs.
+func KruskalWallis(a, b []float64) float64 {
+	all := append(slices.Clone(a), b...)
+	slices.Sort(all)
+	mid := float64(len(all)+1) / 2
+	var between, within float64
+	for _, group := range [][]float64{a, b} {
+		sum := 0.0
+		for _, v := range group {
+			low, _ := slices.BinarySearch(all, v)
+			high := low
+			for high < len(all) && all[high] == v {
+				high++
+			}
+			d := float64(low+high+1)/2 - mid
+			sum += d
+			within += d * d
+		}
+		if len(group) > 0 {
+			between += sum * sum / float64(len(group))
+		}
+	}
+	if within == 0 {
+		return 0
+	}
+	return float64(len(all)-1) * between / within
+}
+
+// Count holds how many outcomes were good and how many bad.
+type Count struct{ Good, Bad float64 }
+
+// N is their sum.
+func (c Count) N() float64 { return c.Good + c.Bad }
+
+// Add adds another count so many times.
+func (c *Count) Add(t Count, times float64) {
+	c.Good += times * t.Good
+	c.Bad += times * t.Bad
+}
+
+// KruskalWallisCounts is the same statistic where outcomes are only good or bad.
+func KruskalWallisCounts(a, b Count) float64 {
+	if a.N() == 0 || b.N() == 0 || a.Good+b.Good == 0 || a.Bad+b.Bad == 0 {
+		return 0
+	}
+	d := a.Bad*b.Good - b.Bad*a.Good
+	return (a.N() + b.N() - 1) * d * d / (a.N() * b.N() * (a.Good + b.Good) * (a.Bad + b.Bad))
+}
+
+// Median of a group that is not empty.
+func Median(v []float64) float64 {
+	s := slices.Sorted(slices.Values(v))
+	return (s[(len(s)-1)/2] + s[len(s)/2]) / 2
+}
+
+// Quartile is the lower one of a group that is not empty.
+func Quartile(v []float64) float64 { return slices.Sorted(slices.Values(v))[len(v)/4] }
+
+// Mean is a running mean, exact over the first values and smoothed over as many as memory after them.
+type Mean struct{ Value, n float64 }
+
+// Add takes a value in and returns the mean.
+func (m *Mean) Add(v, memory float64) float64 {
+	m.n = min(m.n+1, memory)
+	m.Value += (v - m.Value) / m.n
+	return m.Value
+}
+
+// Or returns the mean, or another value before the first Add.
+func (m *Mean) Or(other float64) float64 {
+	if m.n == 0 {
+		return other
+	}
+	return m.Value
+}
+
+// Chance draws numbers from 0 to 1 from a seed and a counter. The counter is scattered, for sums of neighbouring
+// counters are too much alike.
+type Chance struct{ Seed, drawn uint64 }
+
+// Next draws one number.
+func (c *Chance) Next() float64 {
+	c.drawn++
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], c.Seed)
+	binary.LittleEndian.PutUint64(b[8:], c.drawn*0x9e3779b97f4a7c15)
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
