--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,8 @@
 // Package logic decides what a marshal does with every hit while a new build replaces the earlier one.
 //
-// Callers make one Marshal for each instance with New and give it what happened, in order, through Handle,
-// its only entry point; Handle returns what is to be done at that same time. A Marshal shares nothing, reads
-// no clock and starts nothing, so the same events bring the same actions. The types that pass through are in
-// api.go. A build on trial is grn, the earlier one blue. docs/design.md tells where the rules come from.
+// Callers make one Marshal for each instance with New and give it what happened, in order, through Handle, its
+// only entry point, which returns what is to be done at that time. It shares nothing, reads no clock and starts
+// nothing. api.go has the types. Grn is a build on trial, blue an earlier one; docs/design.md has the reasons.
 package logic
 
 import (
@@ -28,15 +27,14 @@
 
 // Ours; shares of figures from the settings or of what is seen.
 const (
-	freshness  = 0.15          // weight of the newest answer in what is known of a node
-	avoidHush  = 4.0           // silence, as -log of its likelihood, from which a node gets nothing new
-	leaveHush  = 8.0           // and from which what it holds is moved
-	slack      = 2.0           // answer time over the shortest at which the in-flight limit starts to fall
-	patience   = 0.25          // of the target latency: the wait for a first forward
-	tickShare  = 0.05          // of the shortest target latency: the time between looks around
-	memory     = 2 * groupSize // outcomes in a pace
-	tiny       = 1e-9
-	pinBuckets = 1 << 16 // key hashes remembered for keys that may not go back
+	freshness = 0.15          // weight of the newest answer in what is known of a node
+	avoidHush = 4.0           // silence, as -log of its likelihood, from which a node gets nothing new
+	leaveHush = 8.0           // and from which what it holds is moved
+	slack     = 2.0           // answer time over the shortest at which the in-flight limit starts to fall
+	patience  = 0.25          // of the target latency: the wait for a first forward
+	tickShare = 0.05          // of the shortest target latency: the time between looks around
+	memory    = 2 * groupSize // outcomes in a pace
+	tiny      = 1e-9
 )
 
 // Marshal is one instance.
@@ -93,7 +91,7 @@
 	out           int
 	coldAt        Millis  // its start, as far as known
 	since         Millis  // last answer, or the first forward out after it
-	ans, short    Millis  // smoothed answer time, and its least, creeping up
+	ans           Millis  // smoothed answer time
 	fail          float64 // smoothed share of failures
 	limit, budget float64 // forwards out at most; forwards that a cold node may still get
 	strikes       int     // times in a row that it was found unreachable or silent
@@ -108,7 +106,7 @@
 	taken, ends, hint Millis
 	forwards          []forward
 	out               int
-	done, waiting     bool // final answer given or hit gone; in a line
+	done              bool // final answer given, or hit gone
 }
 
 type forward struct {
@@ -121,7 +119,7 @@
 func New(set Settings, seed uint64) *Marshal {
 	m := &Marshal{set: set, chance: stats.Chance{Seed: seed}, groups: map[GroupName]*group{}, nodes: map[NodeID]*node{},
 		hits: map[HitID]*hit{}, kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}, pool: &group{}, before: &group{},
-		period: math.Inf(1), troubleAt: math.Inf(-1), askAt: math.Inf(1)}
+		period: math.Inf(1), troubleAt: math.Inf(-1)}
 	m.room.level = set.Free
 	m.pool.room.level = set.Free
 	m.pool.index = len(set.Groups)
@@ -143,9 +141,6 @@
 	if !m.ticked {
 		m.ticked = true
 		m.do(WakeAt{At: now + m.period})
-		if m.set.AskList {
-			m.do(Watch{On: true})
-		}
 	}
 	switch e := event.(type) {
 	case NodesChanged:
@@ -173,7 +168,9 @@
 		m.stageNews(e)
 	case Flagged: // a wrong answer is a failure; only a share of them is told
 		if n, g := m.nodes[e.Node], m.groups[e.Group]; n != nil && g != nil {
-			n.tally[g.index].Bad += 1 / max(m.set.FlagShare, freshness)
+			wrong := stats.Count{Bad: 1 / max(m.set.FlagShare, freshness)}
+			n.tally[g.index].Add(wrong, 1)
+			n.tally[m.pool.index].Add(wrong, 1)
 		}
 	}
 	return m.acts
@@ -188,23 +185,21 @@
 		m.askAt = m.now + m.set.AskWithin*freshness*(0.5+m.chance.Next())
 		return
 	}
-	drop := func(id NodeID) {
-		if n := m.nodes[id]; n != nil {
-			n.State = Removed // hits that were forwarded there still know it
-			delete(m.nodes, id)
-		}
+	drop := func(n *node) {
+		n.State = Removed // hits that were forwarded there still know it
+		delete(m.nodes, n.ID)
 	}
 	named := map[NodeID]bool{}
 	for _, in := range e.Nodes {
 		named[in.ID] = true
-		// A new start or another build makes it another node: what was known of it no longer holds.
 		n := m.nodes[in.ID]
-		if in.State == Removed || n != nil && (n.Started != in.Started || n.Build != in.Build) {
-			drop(in.ID)
+		// A new start or another build makes it another node: what was known of it no longer holds.
+		if n != nil && (in.State == Removed || n.Started != in.Started || n.Build != in.Build) {
+			drop(n)
 			n = nil
 		}
 		if in.State != Removed && n == nil {
-			n = &node{coldAt: in.Started, ans: m.typical, short: m.least, limit: 2, budget: 1,
+			n = &node{coldAt: in.Started, ans: m.typical, limit: 2, budget: 1,
 				tally: make([]stats.Count, len(m.order)+1)}
 			m.nodes[in.ID] = n
 		}
@@ -214,7 +209,7 @@
 	}
 	for _, n := range m.list {
 		if e.How != Changes && !named[n.ID] {
-			drop(n.ID)
+			drop(n)
 		}
 	}
 	m.list = slices.SortedFunc(maps.Values(m.nodes), func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
@@ -269,14 +264,13 @@
 	}
 	*m.left(h) += m.fill()
 	if len(m.lines[0]) > 0 || !m.forward(h) {
-		h.waiting = true
 		m.lines[0] = append(m.lines[0], h)
 		m.serve()
 	}
 }
 
 func (m *Marshal) finish(h *hit) {
-	if h.done, h.waiting = true, false; h.out == 0 {
+	if h.done = true; h.out == 0 {
 		delete(m.hits, h.id)
 	}
 	for i := range h.forwards {
@@ -335,18 +329,15 @@
 	for _, f := range h.forwards {
 		grn = grn && m.side(f.node) == 0 // a further forward tries the earlier build
 	}
-	n := m.pick(h, grn)
+	n := cmp.Or(m.pick(h, grn), m.pick(h, !grn))
 	if n == nil {
-		if n = m.pick(h, !grn); n == nil {
-			return false
-		}
+		return false
 	}
 	if n.out == 0 {
 		n.since = m.now
 	}
 	n.out++
 	h.out++
-	h.waiting = false
 	h.forwards = append(h.forwards, forward{node: n, at: m.now, out: true, ran: true})
 	if trial, _, _ := m.trial(n.Build); trial {
 		*m.left(h)--
@@ -368,18 +359,17 @@
 	f.node.out--
 	m.learn(f.node, e)
 	m.sample(h, f.node, e)
-	if e.Ending == Delivered && h.key != 0 && m.set.KeysStay && m.told && f.Build >= m.news.Build {
-		if f.Build > m.pinBuild {
-			m.pinBuild = f.Build
+	if b := f.Build; e.Ending == Delivered && h.key != 0 && m.set.KeysStay && m.told && b >= m.news.Build {
+		if b > m.pinBuild {
 			clear(m.pins)
 		}
+		m.pinBuild = max(b, m.pinBuild)
 		m.pins[uint16(h.key>>16)] = true
 	}
 	switch {
 	case h.done || e.HitEnded:
 		m.finish(h)
 	case h.out == 0:
-		h.waiting = true
 		m.lines[1] = append(m.lines[1], h)
 	}
 	m.serve()
@@ -418,10 +408,9 @@
 // paceLimit lets the in-flight limit follow the shortest over the present answer time.
 func (m *Marshal) paceLimit(n *node, after Millis) {
 	n.ans += freshness * (after - n.ans)
-	n.short = min(n.short, n.ans)
-	most := max(2, slack*m.pool.Target/n.short/float64(m.set.Marshals))
-	grow := min(1, m.pool.Target/n.short/float64(m.set.Marshals)/slack)
-	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*n.short/n.ans)-1)+grow), most)
+	most := max(2, slack*m.pool.Target/m.least/float64(m.set.Marshals))
+	grow := min(1, m.pool.Target/m.least/float64(m.set.Marshals)/slack)
+	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*m.least/n.ans)-1)+grow), most)
 }
 
 // serve gives waiting hits their forwards: first forwards before further ones.
@@ -430,7 +419,7 @@
 		left := m.lines[i][:0]
 		for _, h := range m.lines[i] {
 			switch {
-			case !h.waiting || h.done || m.forward(h):
+			case h.done || m.forward(h):
 			case m.now >= min(h.taken+h.Target*wait, h.ends-2*m.period):
 				m.giveUp(h)
 			default:
@@ -507,11 +496,10 @@
 // ---- Looking around ----
 
 func (m *Marshal) lookAround() {
-	full := 0.0
+	var full float64
 	var units, use [2]float64 // warm units, and what all can do, of blue and grn
 	for _, n := range m.list {
 		n.fail *= 1 - m.period/m.set.WarmAfter
-		n.short *= 1 + m.period/m.set.WarmAfter/groupSize
 		if m.hush(n) >= leaveHush && m.now >= n.shut {
 			m.strike(n)
 		}
@@ -525,7 +513,8 @@
 			use[m.side(n)] += n.Units * math.Pow(w, float64(1+3*m.side(n)))
 		}
 	}
-	m.pressure += min(1, m.period/m.set.OverFor) * (m.taken/m.period - m.pressure)
+	recent := min(1, m.period/m.set.OverFor)
+	m.pressure += recent * (m.taken/m.period - m.pressure)
 	m.taken, m.load = 0, m.pressure/max(full, tiny)
 	// Danger: in the last stage few grn nodes are warm; measured against idle blue ones, the cold would get so
 	// little that the warm are crowded. So the busier build's warm nodes set the rate. All marshals count
@@ -533,7 +522,7 @@
 	busier := 0.0
 	for k := range units {
 		if units[k] > 0 {
-			m.rate[k] += min(1, m.period/m.set.OverFor) * (m.delivered[k]/units[k]/m.period - m.rate[k])
+			m.rate[k] += recent * (m.delivered[k]/units[k]/m.period - m.rate[k])
 			busier = max(busier, m.rate[k])
 		}
 		m.delivered[k] = 0
@@ -544,14 +533,12 @@
 		n.budget = min(n.budget+rate*m.period, 1+rate*m.set.OverFor*patience)
 	}
 	m.least *= 1 + m.period/m.set.WarmAfter/groupSize
-	all := max(use[0], use[1])
+	all := max(use[0], use[1], tiny)
 	if m.set.InPlace {
-		all = use[0] + use[1]
+		all = use[0] + use[1] + tiny
 	}
-	if m.share = 0; all > 0 && m.fill() > 0 {
-		m.share = min(1, use[1]/all)
-	}
-	if m.now >= m.askAt {
+	m.share = use[1] / all
+	if m.set.AskList && m.now >= m.askAt {
 		m.askAt = math.Inf(1)
 		m.do(Watch{On: true})
 	}
@@ -569,7 +556,7 @@
 			continue
 		}
 		if m.set.MayCopy {
-			moved := m.forward(h)
+			moved := m.forward(h) // it may grow the forwards
 			h.forwards[i].moved = moved
 		} else if m.set.MayCancel && len(h.forwards) < m.set.MaxForwards {
 			h.forwards[i].moved = true
@@ -580,9 +567,9 @@
 
 // ---- Exposure ----
 
-// allowance counts what may still go to builds on trial. It is filled by the cap with each hit taken and holds
-// the free number at most from one instant to the next. So in every window, however it slides and wherever it
-// ends, forwards number at most free + cap x taken; a window of buckets holds only for those that end now.
+// allowance is what may still go to builds on trial. The cap of each hit taken fills it, and it holds the free
+// number at most from one instant to the next; so forwards number at most free + cap x taken in every window,
+// wherever it begins or ends. Danger: a window of buckets holds only for windows that end at a forward.
 type allowance struct {
 	level float64
 	seen  Millis
@@ -600,12 +587,7 @@
 }
 
 // side is 1 for nodes of the newest build, 0 for earlier ones.
-func (m *Marshal) side(n *node) int {
-	if n.Build >= m.news.Build {
-		return 1
-	}
-	return 0
-}
+func (m *Marshal) side(n *node) int { return min(1, max(0, int(n.Build-m.news.Build)+1)) }
 
 // trial tells whether a build is on trial, with its stage and cap; without news of it, it is in the first stage.
 func (m *Marshal) trial(b Build) (on bool, stage int, cap float64) {
@@ -630,27 +612,25 @@
 
 // sample adds an outcome to the groups of its build.
 func (m *Marshal) sample(h *hit, n *node, e ForwardEnded) {
-	g, v := h.group, e.After
+	g, v, tally := h.group, e.After, stats.Count{Good: 1}
 	switch e.Ending {
 	case Delivered:
-		n.tally[g.index].Good++
 	case NodeError:
-		v = math.Inf(1) // a failure ranks behind every answer
-		n.tally[g.index].Bad++
+		v, tally = math.Inf(1), stats.Count{Bad: 1} // a failure ranks behind every answer
 	case TimedOut:
-		if n.strikes > 0 || h.done {
+		if tally = (stats.Count{}); n.strikes > 0 || h.done {
 			return // a silent node, not its build
 		}
 	default:
 		return
 	}
+	n.tally[g.index].Add(tally, 1)
+	n.tally[m.pool.index].Add(tally, 1)
 	if h.hint > 0 {
 		v /= h.hint
 	}
-	if m.kinds[n.Kind] == nil {
-		m.kinds[n.Kind] = &stats.Mean{}
-	}
-	kind := m.kinds[n.Kind]
+	kind := cmp.Or(m.kinds[n.Kind], &stats.Mean{})
+	m.kinds[n.Kind] = kind
 	// Danger: a cold node is slow whatever it runs, and one trial node of a slow kind is no slow build. So only
 	// warm nodes count, each against the earlier build's pace in its path group and on its kind of machine.
 	if m.warmth(n) < 1 || n.Build > m.news.Build {
@@ -699,14 +679,13 @@
 // judgeAll judges the earlier build's own nodes against the time before the trial, for a build that slows all
 // nodes alike. It goes by the lower quartile, answers that hardly waited, and by a wider gap.
 func (m *Marshal) judgeAll(b *group) {
-	grn := b.grn
-	b.grn = nil
-	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, grn, 0, slowGap) &&
-		stats.Quartile(grn) >= slowGap*slowGap*m.more(b, 0)*m.floor.Or(1) {
+	wide := slowGap * slowGap * m.more(b, 0) * m.floor.Or(1)
+	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, 0, slowGap) && stats.Quartile(b.grn) >= wide {
 		b.rejects++
 	} else {
 		b.rejects, m.calmAt = 0, m.now
 	}
+	b.grn = nil
 }
 
 // slower tells whether outcomes are rejected and clearly slower than the kept group.
@@ -727,21 +706,20 @@
 		r = max(r, m.rate[side]/g.keptRate)
 	}
 	if r >= slowGap {
-		return math.Inf(1)
+		r = math.Inf(1)
 	}
 	return r * r * r
 }
 
 // failing is the strongest sign, in one path group or in all, that the build on trial fails more often than the
-// earlier one: the same test where outcomes are only good or bad, and the number of outcomes. The worst of
+// earlier one: the same test where outcomes are only good or bad; and the number of outcomes. The worst of
 // several nodes is left out: trouble of one node is not its build's.
 func (m *Marshal) failing() (worst, seen float64) {
-	var all [2]stats.Count // blue, grn
-	for i := range m.order {
-		var side [2]stats.Count
+	for _, g := range append(m.order, m.pool) {
+		var side [2]stats.Count // blue, grn
 		var odd stats.Count
 		for _, n := range m.list {
-			t := n.tally[i]
+			t := n.tally[g.index]
 			if n.Build > m.news.Build || t.N() == 0 {
 				continue
 			}
@@ -750,61 +728,50 @@
 				odd = t
 			}
 		}
-		seen += side[1].N()
-		if odd.N() < side[1].N() {
+		seen = side[1].N()
+		if odd.N() < seen {
 			side[1].Add(odd, -1)
 		}
-		for k := range side {
-			all[k].Add(side[k], 1)
+		if blue, grn := side[0], side[1]; grn.Bad >= 2 && grn.Bad*blue.N() > blue.Bad*grn.N() {
+			worst = max(worst, stats.KruskalWallisCounts(blue, grn))
 		}
-		worst = max(worst, worse(side[0], side[1]))
-	}
-	return max(worst, worse(all[0], all[1])), seen
-}
-
-// worse is the statistic of the rank test for good and bad outcomes, if grn's are the worse.
-func worse(blue, grn stats.Count) float64 {
-	if grn.Bad < 2 || grn.Bad*blue.N() <= blue.Bad*grn.N() {
-		return 0
 	}
-	return stats.KruskalWallisCounts(blue, grn)
+	return worst, seen
 }
 
 // ---- Voting ----
 
 func (m *Marshal) stageNews(e StageNews) {
 	if e.ToVote {
-		m.voteDue = m.now
-		if m.voteOK = e.VoteFate == VoteOK; !m.voteOK {
+		m.voteOK, m.voteDue = e.VoteFate == VoteOK, m.now
+		if !m.voteOK {
 			m.voteDue += m.set.VoteWait * m.chance.Next()
 		}
 	}
-	if e.VoteFate != VoteOK {
-		return
-	}
 	old := m.news
-	m.news, m.stageAt = e, m.now-e.Age
-	if m.told && old.Build == e.Build && old.Stage == e.Stage && old.Phase == e.Phase {
+	if e.VoteFate == VoteOK {
+		m.news, m.stageAt = e, m.now-e.Age
+	}
+	if e.VoteFate != VoteOK || m.told && old.Build == e.Build && old.Stage == e.Stage && old.Phase == e.Phase {
 		return
 	}
-	m.told = true
+	m.told, m.vote = true, Vote{}
 	if e.Phase == GoingBack || e.Phase == Withdrawn {
 		m.pinBuild = 0 // keys are free again
 		clear(m.pins)
 	}
 	for _, g := range append(m.order, m.pool) {
 		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
+		if e.Build != old.Build {
+			g.paceBefore = g.pace.Value
+		}
 	}
 	if e.Build != old.Build {
 		m.before = &group{kept: m.pool.kept, keptRate: m.pool.keptRate, keptLoad: m.pool.keptLoad}
-		for _, g := range m.order {
-			g.paceBefore = g.pace.Value
-		}
 		for _, n := range m.list {
 			clear(n.tally)
 		}
 	}
-	m.vote = Vote{}
 	m.do(Log{Text: fmt.Sprintf("build %d stage %d phase %d cap %.2f", e.Build, e.Stage, e.Phase, e.Cap)})
 }
 
@@ -823,10 +790,7 @@
 			back = g
 		}
 	}
-	next := 1.0
-	if m.news.Stage+1 < len(m.set.Stages) {
-		next = m.set.Stages[m.news.Stage+1]
-	}
+	next := append(slices.Clone(m.set.Stages), 1)[min(max(m.news.Stage+1, 0), len(m.set.Stages))]
 	switch trial := m.news.Phase == OnTrial; {
 	case failing >= 2*rejectAt:
 		return VoteBack, fmt.Sprintf("it fails more often, K %.1f", failing)
@@ -857,8 +821,7 @@
 	if m.vote.Verdict == VoteBack {
 		v = VoteBack // testing ends with it until the next stage
 	}
-	same := m.vote.Verdict == v && m.voteOK && m.now-m.voteAt < m.set.VoteLife*(1-freshness)
-	if same || v == VoteNone && m.vote.Verdict == VoteNone {
+	if v == m.vote.Verdict && (v == VoteNone || m.voteOK && m.now-m.voteAt < m.set.VoteLife*(1-freshness)) {
 		return
 	}
 	if v != m.vote.Verdict {
