--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,36 +39,34 @@
 
 // Marshal is one instance.
 type Marshal struct {
-	set               Settings
-	chance            stats.Chance
-	now, period       Millis
-	ticked, told      bool
-	acts              []Action
-	groups            map[GroupName]*group
-	order             []*group // path groups as in the settings
-	pool              *group   // all of them, each by its pace, so that thin marshals fill groups too
-	before            *group   // the pool from before the trial, for builds that slow all nodes
-	nodes             map[NodeID]*node
-	list              []*node              // nodes by id; the list of nodes empties it
-	hits              map[HitID]*hit       // open hits; their endings empty it
-	lines             [2][]*hit            // hits waiting for a first or a further forward; patience empties them
-	kinds             map[Kind]*stats.Mean // by the list's kinds of machine
-	floor             stats.Mean           // lower quartile of the pool's groups while no build is on trial
-	news              StageNews            // as last told
-	stageAt, askAt    Millis               // start of the stage; next call for the list after a refusal
-	room              allowance            // exposure over all path groups
-	pins              map[uint16]bool      // hashes of keys that pinBuild answered: 65536 at most; a way back empties it
-	pinBuild          Build
-	share             float64    // of hits that go to grn
-	taken             float64    // first tries since the last look
-	pressure, load    float64    // first tries a ms; the same to what one unit of all nodes can do
-	typical, least    Millis     // answer time over all nodes, and the least it was, creeping up
-	rate, delivered   [2]float64 // answers a ms from one unit of warm nodes, of blue and grn; since the last look
-	coldRate          float64    // the busier build's rate, as last seen
-	troubleAt, calmAt Millis     // a node was last found out of reach; all nodes were last not slower
-	vote              Vote
-	voteAt, voteDue   Millis // when it was cast; no other before
-	voteOK            bool
+	set                  Settings
+	chance               stats.Chance
+	now, period          Millis
+	ticked, told, voteOK bool
+	acts                 []Action
+	groups               map[GroupName]*group
+	order                []*group // path groups as in the settings
+	pool                 *group   // all of them, each by its pace, so that thin marshals fill groups too
+	before               *group   // the pool from before the trial, for builds that slow all nodes
+	nodes                map[NodeID]*node
+	list                 []*node              // nodes by id; the list of nodes empties it
+	hits                 map[HitID]*hit       // open hits; their endings empty it
+	lines                [2][]*hit            // hits waiting for a first or a further forward; patience empties them
+	kinds                map[Kind]*stats.Mean // by the list's kinds of machine
+	floor                stats.Mean           // lower quartile of the pool's groups while no build is on trial
+	news                 StageNews            // as last told
+	stageAt, askAt       Millis               // start of the stage; next call for the list after a refusal
+	room                 allowance            // exposure over all path groups
+	pins                 map[uint16]bool      // hashes of keys that pinBuild answered: 65536 at most; a way back empties it
+	pinBuild             Build
+	share, taken         float64    // of hits that go to grn; first tries since the last look
+	pressure, load       float64    // first tries a ms; the same to what one unit of all nodes can do
+	typical, least       Millis     // answer time over all nodes, and the least it was, creeping up
+	rate, delivered      [2]float64 // answers a ms from one unit of warm nodes, of blue and grn; since the last look
+	coldRate             float64    // the busier build's rate, as last seen
+	troubleAt, calmAt    Millis     // a node was last found out of reach; all nodes were last not slower
+	vote                 Vote
+	voteAt, voteDue      Millis // when it was cast; no other before
 }
 
 // group is a path group with what its outcomes say of the builds.
@@ -118,11 +116,10 @@
 // New makes an instance that knows nothing but its settings.
 func New(set Settings, seed uint64) *Marshal {
 	m := &Marshal{set: set, chance: stats.Chance{Seed: seed}, groups: map[GroupName]*group{}, nodes: map[NodeID]*node{},
-		hits: map[HitID]*hit{}, kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}, pool: &group{}, before: &group{},
+		hits: map[HitID]*hit{}, kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}, before: &group{},
 		period: math.Inf(1), troubleAt: math.Inf(-1)}
 	m.room.level = set.Free
-	m.pool.room.level = set.Free
-	m.pool.index = len(set.Groups)
+	m.pool = &group{room: m.room, index: len(set.Groups)}
 	for i, g := range set.Groups {
 		m.groups[g.Name] = &group{PathGroup: g, index: i, room: m.room}
 		m.order = append(m.order, m.groups[g.Name])
@@ -263,10 +260,8 @@
 		m.taken++
 	}
 	*m.left(h) += m.fill()
-	if len(m.lines[0]) > 0 || !m.forward(h) {
-		m.lines[0] = append(m.lines[0], h)
-		m.serve()
-	}
+	m.lines[0] = append(m.lines[0], h)
+	m.serve()
 }
 
 func (m *Marshal) finish(h *hit) {
@@ -389,15 +384,14 @@
 		if m.warmth(n) >= 1 {
 			m.delivered[m.side(n)]++
 		}
-	case NodeError:
-		n.fail += freshness * (1 - n.fail)
 	case NodeFull: // work turned away loads a node too: it gets a rest
 		n.limit = max(freshness, min(n.limit, float64(n.out+1))*(1-freshness))
 		n.shut = max(n.shut, m.now+n.ans)
-	case TimedOut:
-		// Danger: a node may go on with work that its client has left, so the limit must fall here too.
-		m.paceLimit(n, max(e.After, n.ans))
+	case NodeError, TimedOut:
 		n.fail += freshness * (1 - n.fail)
+		if e.Ending == TimedOut { // Danger: a node may go on with work that its client has left
+			m.paceLimit(n, max(e.After, n.ans))
+		}
 	case Unreachable, Broken:
 		if m.now >= n.shut {
 			m.strike(n)
@@ -612,16 +606,13 @@
 
 // sample adds an outcome to the groups of its build.
 func (m *Marshal) sample(h *hit, n *node, e ForwardEnded) {
-	g, v, tally := h.group, e.After, stats.Count{Good: 1}
-	switch e.Ending {
-	case Delivered:
-	case NodeError:
-		v, tally = math.Inf(1), stats.Count{Bad: 1} // a failure ranks behind every answer
-	case TimedOut:
-		if tally = (stats.Count{}); n.strikes > 0 || h.done {
-			return // a silent node, not its build
-		}
-	default:
+	g, v, tally := h.group, e.After, stats.Count{}
+	switch {
+	case e.Ending == Delivered:
+		tally.Good = 1
+	case e.Ending == NodeError:
+		v, tally.Bad = math.Inf(1), 1 // a failure ranks behind every answer
+	case e.Ending != TimedOut || n.strikes > 0 || h.done: // a silent node, not its build
 		return
 	}
 	n.tally[g.index].Add(tally, 1)
@@ -802,10 +793,8 @@
 		return VoteHold, "clearly slower once"
 	case !trial || m.set.Control == ByClock || failing >= rejectAt || reject:
 		return VoteNone, "not settled"
-	case full > 0 && agree:
+	case full > 0 && agree, m.vote.Verdict == VoteOn: // a later group that is not clearly slower takes nothing back
 		return VoteOn, "groups agree"
-	case m.vote.Verdict == VoteOn:
-		return VoteOn, "no later group is clearly slower"
 	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next && !m.slower(m.pool, m.pool.grn, 1, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
