--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,12 +99,12 @@
 type hit struct {
 	id HitID
 	*group
-	key               uint32  // hash; 0 without a key
-	place             float64 // from 0 to 1, the lowest go to grn first
-	taken, ends, hint Millis
-	forwards          []forward
-	out               int
-	done              bool // final answer given, or hit gone
+	key         uint32  // hash; 0 without a key
+	place       float64 // from 0 to 1, the lowest go to grn first
+	taken, ends Millis
+	forwards    []forward
+	out         int
+	done        bool // final answer given, or hit gone
 }
 
 type forward struct {
@@ -244,7 +244,7 @@
 // ---- Hits and their one final answer ----
 
 func (m *Marshal) take(e HitTaken) {
-	h := &hit{id: e.Hit, group: m.groups[e.Group], taken: m.now, ends: m.now + e.TTL, hint: e.Hint, place: m.chance.Next()}
+	h := &hit{id: e.Hit, group: m.groups[e.Group], taken: m.now, ends: m.now + e.TTL, place: m.chance.Next()}
 	if h.group == nil {
 		h.group = m.pool // not in the settings: it has the most careful effect
 	}
@@ -617,9 +617,6 @@
 	}
 	n.tally[g.index].Add(tally, 1)
 	n.tally[m.pool.index].Add(tally, 1)
-	if h.hint > 0 {
-		v /= h.hint
-	}
 	kind := cmp.Or(m.kinds[n.Kind], &stats.Mean{})
 	m.kinds[n.Kind] = kind
 	// Danger: a cold node is slow whatever it runs, and one trial node of a slow kind is no slow build. So only
@@ -795,7 +792,7 @@
 		return VoteNone, "not settled"
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // a later group that is not clearly slower takes nothing back
 		return VoteOn, "groups agree"
-	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next && !m.slower(m.pool, m.pool.grn, 1, 1):
+	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 && !m.slower(m.pool, m.pool.grn, 1, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, "not settled"
