--- a/logic/logic.go
+++ b/logic/logic.go
@@ -72,15 +72,16 @@
 // group is a path group with what its outcomes say of the builds.
 type group struct {
 	PathGroup
-	index                 int
-	room                  allowance
-	pace                  stats.Mean // of the earlier build
-	paceBefore            float64    // as it was when the build was offered
-	blue, kept, grn, prev []float64  // filling and last full groups of the earlier build and of the one on trial
-	keptRate, keptLoad    float64    // the earlier build's rate, and the load, when its group was full
-	agrees                bool
-	rejects               int
-	gap                   float64 // of medians, at the last look
+	index              int
+	room               allowance
+	pace               stats.Mean // of the earlier build
+	paceBefore         float64    // as it was when the build was offered
+	blue, kept, older  []float64  // filling group of the earlier build, its last full one and the one before
+	grn, prev          []float64  // filling and last full group of the build on trial
+	keptRate, keptLoad float64    // the earlier build's rate, and the load, when its group was full
+	agrees             bool
+	rejects            int
+	gap                float64 // of medians, at the last look
 }
 
 type node struct {
@@ -635,7 +636,8 @@
 				m.judge(to)
 			}
 		} else if to.blue = append(to.blue, x); len(to.blue) == groupSize {
-			to.kept, to.blue, to.keptRate, to.keptLoad = to.blue, nil, m.rate[m.side(n)], m.load
+			to.older, to.kept, to.blue, to.keptRate, to.keptLoad =
+				to.kept, to.blue, nil, m.rate[m.side(n)], m.load
 			if to == m.pool && m.news.Phase != OnTrial {
 				m.floor.Add(stats.Quartile(to.kept), memory)
 			}
@@ -676,13 +678,18 @@
 	b.grn = nil
 }
 
-// slower tells whether outcomes are rejected and clearly slower than the kept group.
+// slower tells whether outcomes are rejected and clearly slower than the last two groups of the earlier build.
+// Danger: against one of them, a group that was fast by chance sends a good build back.
 func (m *Marshal) slower(g *group, got []float64, side int, wider float64) bool {
-	if g.kept == nil || len(got) == 0 || stats.KruskalWallis(g.kept, got) < rejectAt {
-		return false
+	for _, blue := range [][]float64{g.older, g.kept} {
+		if blue == nil || len(got) == 0 || stats.KruskalWallis(blue, got) < rejectAt {
+			return false
+		}
+		if g.gap = stats.Median(got) / stats.Median(blue); g.gap < slowGap*wider*m.more(g, side) {
+			return false
+		}
 	}
-	g.gap = stats.Median(got) / stats.Median(g.kept)
-	return g.gap >= slowGap*wider*m.more(g, side)
+	return true
 }
 
 // more widens the gap when nodes carry more than those of the kept group did: lost or cold nodes, a rush of hits
@@ -755,7 +762,7 @@
 		}
 	}
 	if e.Build != old.Build {
-		m.before = &group{kept: m.pool.kept, keptRate: m.pool.keptRate, keptLoad: m.pool.keptLoad}
+		m.before = &group{older: m.pool.older, kept: m.pool.kept, keptRate: m.pool.keptRate, keptLoad: m.pool.keptLoad}
 		for _, n := range m.list {
 			clear(n.tally)
 		}
