--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -12,7 +12,7 @@
 	"ottershed/logic"
 )
 
-// An Incoming is one event for one instance. Born carries the settings of an instance that starts; Down ends one.
+// Incoming is one event for an instance. Born carries the settings of one that starts; Down ends one.
 type Incoming struct {
 	Who   int
 	Born  *Born
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -1,5 +1,5 @@
-// Package stats holds the arithmetic that the decision module uses: the rank test's statistic, medians, smoothed
-// means and drawn numbers. It decides nothing and holds no tuned value.
+// Package stats holds the arithmetic that the decision module uses: the rank test's statistic, medians,
+// smoothed means and drawn numbers. It decides nothing and holds no tuned value.
 package stats
 
 import (
@@ -8,8 +8,8 @@
 	"slices"
 )
 
-// KruskalWallis is the statistic of the rank test for two groups, ties at their middle rank. It is 0 where no rank
-// differs.
+// KruskalWallis is the statistic of the rank test for two groups, ties at their middle rank. It is 0 where
+// no rank differs.
 func KruskalWallis(a, b []float64) float64 {
 	all := append(slices.Clone(a), b...)
 	slices.Sort(all)
@@ -85,8 +85,8 @@
 	return m.Value
 }
 
-// Chance draws numbers from 0 to 1 from a seed and a counter. The counter is scattered, for sums of neighbouring
-// counters are too much alike.
+// Chance draws numbers from 0 to 1 from a seed and a counter. The counter is scattered, for sums of
+// neighbouring counters are too much alike.
 type Chance struct{ Seed, drawn uint64 }
 
 // Next draws one number.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
 // Package logic decides what a marshal does with every hit while a new build replaces the earlier one.
 //
-// Callers make one Marshal for each instance with New and give it what happened, in order, through Handle, its
-// only entry point, which returns what is to be done at that time. It shares nothing, reads no clock and starts
+// Callers make one Marshal for each instance with New and give it what happened, in order, through Handle,
+// its only entry point, which returns what is to be done then. It shares nothing, reads no clock, starts
 // nothing. api.go has the types. Grn is a build on trial, blue an earlier one; docs/design.md has the reasons.
 package logic
 
@@ -51,20 +51,19 @@
 	nodes                map[NodeID]*node
 	list                 []*node              // nodes by id; the list of nodes empties it
 	hits                 map[HitID]*hit       // open hits; their endings empty it
-	lines                [2][]*hit            // hits waiting for a first or a further forward; patience empties them
+	lines                [2][]*hit            // hits that wait for a first or a further forward
 	kinds                map[Kind]*stats.Mean // by the list's kinds of machine
-	floor                stats.Mean           // lower quartile of the pool's groups while no build is on trial
 	news                 StageNews            // as last told
 	stageAt, askAt       Millis               // start of the stage; next call for the list after a refusal
 	room                 allowance            // exposure over all path groups
-	pins                 map[uint16]bool      // hashes of keys that pinBuild answered: 65536 at most; a way back empties it
+	pins                 map[uint16]bool      // hashes of keys that pinBuild answered
 	pinBuild             Build
 	share, taken         float64    // of hits that go to grn; first tries since the last look
 	pressure, load       float64    // first tries a ms; the same to what one unit of all nodes can do
 	typical, least       Millis     // answer time over all nodes, and the least it was, creeping up
-	rate, delivered      [2]float64 // answers a ms from one unit of warm nodes, of blue and grn; since the last look
+	rate, delivered      [2]float64 // of blue and grn: answers a ms of a warm unit; the newest
 	coldRate             float64    // the busier build's rate, as last seen
-	troubleAt, calmAt    Millis     // a node was last found out of reach; all nodes were last not slower
+	troubleAt            Millis     // a node was last found out of reach
 	vote                 Vote
 	voteAt, voteDue      Millis // when it was cast; no other before
 }
@@ -116,9 +115,9 @@
 
 // New makes an instance that knows nothing but its settings.
 func New(set Settings, seed uint64) *Marshal {
-	m := &Marshal{set: set, chance: stats.Chance{Seed: seed}, groups: map[GroupName]*group{}, nodes: map[NodeID]*node{},
-		hits: map[HitID]*hit{}, kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}, before: &group{},
-		period: math.Inf(1), troubleAt: math.Inf(-1)}
+	m := &Marshal{set: set, chance: stats.Chance{Seed: seed}, period: math.Inf(1), troubleAt: math.Inf(-1),
+		groups: map[GroupName]*group{}, nodes: map[NodeID]*node{}, hits: map[HitID]*hit{}, before: &group{},
+		kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}}
 	m.room.level = set.Free
 	m.pool = &group{room: m.room, index: len(set.Groups)}
 	for i, g := range set.Groups {
@@ -128,8 +127,7 @@
 		m.pool.Target = max(m.pool.Target, g.Target)
 	}
 	m.period = max(min(m.period, m.pool.Target), set.Granularity, 1)
-	m.typical = m.pool.Target * patience
-	m.least = m.typical
+	m.typical, m.least = m.pool.Target*patience, m.pool.Target*patience
 	return m
 }
 
@@ -152,7 +150,7 @@
 			m.answered(h.forwards[e.Forward].node)
 		}
 	case ForwardEnded:
-		if h := m.hits[e.Hit]; h != nil && e.Forward >= 0 && e.Forward < len(h.forwards) && h.forwards[e.Forward].out {
+		if h := m.hits[e.Hit]; h != nil && e.Forward >= 0 && e.Forward < len(h.forwards) {
 			m.forwardEnded(h, &h.forwards[e.Forward], e)
 		}
 	case HitGone:
@@ -191,9 +189,8 @@
 	for _, in := range e.Nodes {
 		named[in.ID] = true
 		n := m.nodes[in.ID]
-		// A new start or another build makes it another node: what was known of it no longer holds.
 		if n != nil && (in.State == Removed || n.Started != in.Started || n.Build != in.Build) {
-			drop(n)
+			drop(n) // started anew, or on another build, it is another node
 			n = nil
 		}
 		if in.State != Removed && n == nil {
@@ -228,8 +225,7 @@
 
 func (m *Marshal) answered(n *node) {
 	if n.since = m.now; n.strikes > 0 {
-		// Danger: a node that was out of reach may have restarted before the list tells; full traffic at once
-		// would push it over.
+		// Danger: out of reach it may have restarted, before the list tells: full traffic would push it over.
 		n.strikes, n.shut, n.coldAt = 0, 0, max(n.coldAt, m.now)
 	}
 }
@@ -245,10 +241,8 @@
 // ---- Hits and their one final answer ----
 
 func (m *Marshal) take(e HitTaken) {
-	h := &hit{id: e.Hit, group: m.groups[e.Group], taken: m.now, ends: m.now + e.TTL, place: m.chance.Next()}
-	if h.group == nil {
-		h.group = m.pool // not in the settings: it has the most careful effect
-	}
+	h := &hit{id: e.Hit, taken: m.now, ends: m.now + e.TTL, place: m.chance.Next()}
+	h.group = cmp.Or(m.groups[e.Group], m.pool) // not in the settings: the most careful effect
 	if e.Key != "" {
 		h.key = crc32.ChecksumIEEE([]byte(e.Key)) | 1
 	}
@@ -332,8 +326,7 @@
 	if n.out == 0 {
 		n.since = m.now
 	}
-	n.out++
-	h.out++
+	n.out, h.out = n.out+1, h.out+1
 	h.forwards = append(h.forwards, forward{node: n, at: m.now, out: true, ran: true})
 	if trial, _, _ := m.trial(n.Build); trial {
 		*m.left(h)--
@@ -350,22 +343,23 @@
 }
 
 func (m *Marshal) forwardEnded(h *hit, f *forward, e ForwardEnded) {
+	if !f.out {
+		return
+	}
 	f.out, f.ran = false, e.Ending != NodeFull && e.Ending != Unreachable && e.Ending != NeverSent
-	h.out--
-	f.node.out--
+	h.out, f.node.out = h.out-1, f.node.out-1
 	m.learn(f.node, e)
 	m.sample(h, f.node, e)
 	if b := f.Build; e.Ending == Delivered && h.key != 0 && m.set.KeysStay && m.told && b >= m.news.Build {
 		if b > m.pinBuild {
+			m.pinBuild = b
 			clear(m.pins)
 		}
-		m.pinBuild = max(b, m.pinBuild)
 		m.pins[uint16(h.key>>16)] = true
 	}
-	switch {
-	case h.done || e.HitEnded:
+	if h.done || e.HitEnded {
 		m.finish(h)
-	case h.out == 0:
+	} else if h.out == 0 {
 		m.lines[1] = append(m.lines[1], h)
 	}
 	m.serve()
@@ -472,7 +466,7 @@
 	return float64(n.out) < n.limit
 }
 
-// risk is the chance that this hit fails at the node or misses its target latency there, with the price of crossing.
+// risk is the chance that this hit fails or misses its target latency there, and the price of crossing.
 func (m *Marshal) risk(h *hit, n *node) float64 {
 	t := n.ans * float64(n.out+1)
 	if n.out > 0 {
@@ -503,17 +497,15 @@
 			if w >= 1 {
 				units[m.side(n)] += n.Units
 			}
-			// Danger: cold nodes lose to warm ones in the choice, so their whole share would crowd grn's warm nodes
-			// and make a good build look slow.
+			// Danger: cold nodes lose in the choice; by their whole share grn's warm ones crowd and look slow.
 			use[m.side(n)] += n.Units * math.Pow(w, float64(1+3*m.side(n)))
 		}
 	}
 	recent := min(1, m.period/m.set.OverFor)
 	m.pressure += recent * (m.taken/m.period - m.pressure)
 	m.taken, m.load = 0, m.pressure/max(full, tiny)
-	// Danger: in the last stage few grn nodes are warm; measured against idle blue ones, the cold would get so
-	// little that the warm are crowded. So the busier build's warm nodes set the rate. All marshals count
-	// together, so each keeps to its own share; and answers count, not forwards, which a node may not manage.
+	// Danger: in the last stage few grn nodes are warm; measured by idle blue ones, the cold get so little that
+	// those are crowded. So the busier build sets the rate, by answers, which no node gives beyond its power.
 	busier := 0.0
 	for k := range units {
 		if units[k] > 0 {
@@ -528,11 +520,11 @@
 		n.budget = min(n.budget+rate*m.period, 1+rate*m.set.OverFor*patience)
 	}
 	m.least *= 1 + m.period/m.set.WarmAfter/groupSize
-	all := max(use[0], use[1], tiny)
-	if m.set.InPlace {
-		all = use[0] + use[1] + tiny
+	if all := use[0] + use[1]; m.set.InPlace {
+		m.share = use[1] / max(all, tiny)
+	} else {
+		m.share = use[1] / max(use[0], use[1], tiny)
 	}
-	m.share = use[1] / all
 	if m.set.AskList && m.now >= m.askAt {
 		m.askAt = math.Inf(1)
 		m.do(Watch{On: true})
@@ -562,13 +554,10 @@
 
 // ---- Exposure ----
 
-// allowance is what may still go to builds on trial. The cap of each hit taken fills it, and it holds the free
-// number at most from one instant to the next; so forwards number at most free + cap x taken in every window,
-// wherever it begins or ends. Danger: a window of buckets holds only for windows that end at a forward.
-type allowance struct {
-	level float64
-	seen  Millis
-}
+// allowance is what may still go to builds on trial. The cap of each hit taken fills it, and it holds the
+// free number at most from one instant to the next; so forwards number at most free + cap x taken in every
+// window, wherever it ends. Danger: a window of buckets holds only for windows that end at a forward.
+type allowance struct{ level, seen float64 }
 
 func (m *Marshal) left(h *hit) *float64 {
 	a := &m.room
@@ -584,7 +573,7 @@
 // side is 1 for nodes of the newest build, 0 for earlier ones.
 func (m *Marshal) side(n *node) int { return min(1, max(0, int(n.Build-m.news.Build)+1)) }
 
-// trial tells whether a build is on trial, with its stage and cap; without news of it, it is in the first stage.
+// trial tells whether a build is on trial, its stage and cap; without news of it, those of the first stage.
 func (m *Marshal) trial(b Build) (on bool, stage int, cap float64) {
 	if m.told && b == m.news.Build {
 		return m.news.Phase != Released, m.news.Stage, m.news.Cap
@@ -638,9 +627,6 @@
 		} else if to.blue = append(to.blue, x); len(to.blue) == groupSize {
 			to.older, to.kept, to.blue, to.keptRate, to.keptLoad =
 				to.kept, to.blue, nil, m.rate[m.side(n)], m.load
-			if to == m.pool && m.news.Phase != OnTrial {
-				m.floor.Add(stats.Quartile(to.kept), memory)
-			}
 		}
 	}
 	if b := m.before; !grn && m.news.Phase == OnTrial && g.paceBefore > 0 {
@@ -669,32 +655,33 @@
 // judgeAll judges the earlier build's own nodes against the time before the trial, for a build that slows all
 // nodes alike. It goes by the lower quartile, answers that hardly waited, and by a wider gap.
 func (m *Marshal) judgeAll(b *group) {
-	wide := slowGap * slowGap * m.more(b, 0) * m.floor.Or(1)
-	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, 0, slowGap) && stats.Quartile(b.grn) >= wide {
+	wide := slowGap * slowGap * m.more(b, 0)
+	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, 0, slowGap) &&
+		stats.Quartile(b.grn) >= wide*max(stats.Quartile(b.older), stats.Quartile(b.kept)) {
 		b.rejects++
 	} else {
-		b.rejects, m.calmAt = 0, m.now
+		b.rejects = 0
 	}
 	b.grn = nil
 }
 
-// slower tells whether outcomes are rejected and clearly slower than the last two groups of the earlier build.
-// Danger: against one of them, a group that was fast by chance sends a good build back.
+// slower tells whether outcomes are clearly slower than the last two groups of the earlier build. Danger:
+// against one, a group that was fast by chance sends a good build back.
 func (m *Marshal) slower(g *group, got []float64, side int, wider float64) bool {
 	for _, blue := range [][]float64{g.older, g.kept} {
-		if blue == nil || len(got) == 0 || stats.KruskalWallis(blue, got) < rejectAt {
+		if len(blue) == 0 || len(got) == 0 {
 			return false
 		}
-		if g.gap = stats.Median(got) / stats.Median(blue); g.gap < slowGap*wider*m.more(g, side) {
+		g.gap = stats.Median(got) / stats.Median(blue)
+		if stats.KruskalWallis(blue, got) < rejectAt || g.gap < slowGap*wider*m.more(g, side) {
 			return false
 		}
 	}
 	return true
 }
 
-// more widens the gap when nodes carry more than those of the kept group did: lost or cold nodes, a rush of hits
-// or a crowd on few warm nodes slow any build; far more explains any slowness. A slow build answers no more than
-// before and draws no more first tries, so it is not spared.
+// more widens the gap where nodes carry more than those of the kept group: lost or cold nodes, a rush, a crowd
+// on few warm ones; far more explains any slowness. A slow build answers no more and draws no more first tries.
 func (m *Marshal) more(g *group, side int) float64 {
 	r := max(1, m.load/max(g.keptLoad, tiny))
 	if g.keptRate > 0 {
@@ -706,9 +693,8 @@
 	return r * r * r
 }
 
-// failing is the strongest sign, in one path group or in all, that the build on trial fails more often than the
-// earlier one: the same test where outcomes are only good or bad; and the number of outcomes. The worst of
-// several nodes is left out: trouble of one node is not its build's.
+// failing is the strongest sign, in one path group or in all, that grn fails more often, by the same test on
+// good and bad; and how much was seen. The worst of several nodes is left out: its trouble is not its build's.
 func (m *Marshal) failing() (worst, seen float64) {
 	for _, g := range append(m.order, m.pool) {
 		var side [2]stats.Count // blue, grn
@@ -737,17 +723,16 @@
 // ---- Voting ----
 
 func (m *Marshal) stageNews(e StageNews) {
-	if e.ToVote {
-		m.voteOK, m.voteDue = e.VoteFate == VoteOK, m.now
-		if !m.voteOK {
-			m.voteDue += m.set.VoteWait * m.chance.Next()
-		}
+	if e.ToVote { // not taken: again after a while
+		m.voteOK = e.VoteFate == VoteOK
+		m.voteDue = m.now + m.set.VoteWait*m.chance.Next()*float64(min(e.VoteFate, 1))
 	}
-	old := m.news
-	if e.VoteFate == VoteOK {
-		m.news, m.stageAt = e, m.now-e.Age
+	if e.VoteFate != VoteOK {
+		return
 	}
-	if e.VoteFate != VoteOK || m.told && old.Build == e.Build && old.Stage == e.Stage && old.Phase == e.Phase {
+	old := m.news
+	m.news, m.stageAt = e, m.now-e.Age
+	if m.told && old.Build == e.Build && old.Stage == e.Stage && old.Phase == e.Phase {
 		return
 	}
 	m.told, m.vote = true, Vote{}
@@ -762,7 +747,8 @@
 		}
 	}
 	if e.Build != old.Build {
-		m.before = &group{older: m.pool.older, kept: m.pool.kept, keptRate: m.pool.keptRate, keptLoad: m.pool.keptLoad}
+		b := *m.pool // its groups are not written to again
+		m.before = &b
 		for _, n := range m.list {
 			clear(n.tally)
 		}
@@ -791,15 +777,16 @@
 		return VoteBack, fmt.Sprintf("it fails more often, K %.1f", failing)
 	case trial && back != nil:
 		return VoteBack, fmt.Sprintf("path group %q clearly slower twice, by %.2f at last", back.Name, back.gap)
-	case trial && m.before.rejects >= 2*backAfter && m.now-m.calmAt >= blindAfter/2:
+	case trial && m.before.rejects >= 4*backAfter:
 		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", m.before.gap)
 	case trial && m.set.Control == ByClock && reject:
 		return VoteHold, "clearly slower once"
 	case !trial || m.set.Control == ByClock || failing >= rejectAt || reject:
 		return VoteNone, "not settled"
-	case full > 0 && agree, m.vote.Verdict == VoteOn: // a later group that is not clearly slower takes nothing back
+	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
-	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 && !m.slower(m.pool, m.pool.grn, 1, 1):
+	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 &&
+		!m.slower(m.pool, m.pool.grn, 1, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, "not settled"
