--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,7 +73,7 @@
 	PathGroup
 	index              int
 	room               allowance
-	pace               stats.Mean // of the earlier build
+	pace, floor        stats.Mean // of the earlier build, and of the lower quartiles of its groups
 	paceBefore         float64    // as it was when the build was offered
 	blue, kept, older  []float64  // filling group of the earlier build, its last full one and the one before
 	grn, prev          []float64  // filling and last full group of the build on trial
@@ -627,6 +627,7 @@
 		} else if to.blue = append(to.blue, x); len(to.blue) == groupSize {
 			to.older, to.kept, to.blue, to.keptRate, to.keptLoad =
 				to.kept, to.blue, nil, m.rate[m.side(n)], m.load
+			to.floor.Add(stats.Quartile(to.kept), memory)
 		}
 	}
 	if b := m.before; !grn && m.news.Phase == OnTrial && g.paceBefore > 0 {
@@ -657,7 +658,7 @@
 func (m *Marshal) judgeAll(b *group) {
 	wide := slowGap * slowGap * m.more(b, 0)
 	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, 0, slowGap) &&
-		stats.Quartile(b.grn) >= wide*max(stats.Quartile(b.older), stats.Quartile(b.kept)) {
+		stats.Quartile(b.grn) >= wide*b.floor.Or(1) {
 		b.rejects++
 	} else {
 		b.rejects = 0
@@ -694,26 +695,26 @@
 }
 
 // failing is the strongest sign, in one path group or in all, that grn fails more often, by the same test on
-// good and bad; and how much was seen. The worst of several nodes is left out: its trouble is not its build's.
+// good and bad; and how much was seen. The worst quarter of several nodes is left out: trouble of its own.
 func (m *Marshal) failing() (worst, seen float64) {
 	for _, g := range append(m.order, m.pool) {
-		var side [2]stats.Count // blue, grn
-		var odd stats.Count
+		var blue, grn stats.Count
+		var each []stats.Count // of grn's nodes, the worst first
 		for _, n := range m.list {
-			t := n.tally[g.index]
-			if n.Build > m.news.Build || t.N() == 0 {
-				continue
-			}
-			side[m.side(n)].Add(t, 1)
-			if m.side(n) == 1 && t.Bad*odd.N() >= odd.Bad*t.N() {
-				odd = t
+			if t := n.tally[g.index]; n.Build < m.news.Build {
+				blue.Add(t, 1)
+			} else if n.Build == m.news.Build && t.N() > 0 {
+				each = append(each, t)
 			}
 		}
-		seen = side[1].N()
-		if odd.N() < seen {
-			side[1].Add(odd, -1)
+		slices.SortFunc(each, func(a, b stats.Count) int { return cmp.Compare(b.Bad*a.N(), a.Bad*b.N()) })
+		seen = 0
+		for i, t := range each {
+			if seen += t.N(); i >= min(len(each)-1, (len(each)+3)/4) {
+				grn.Add(t, 1)
+			}
 		}
-		if blue, grn := side[0], side[1]; grn.Bad >= 2 && grn.Bad*blue.N() > blue.Bad*grn.N() {
+		if grn.Bad >= 2 && grn.Bad*blue.N() > blue.Bad*grn.N() {
 			worst = max(worst, stats.KruskalWallisCounts(blue, grn))
 		}
 	}
