--- /dev/null
+++ b/internal/stats/stats_test.go
@@ -0,0 +1,41 @@
+package stats
+
+import (
+	"math"
+	"testing"
+)
+
+func TestKruskalWallis(t *testing.T) {
+	inf := math.Inf(1)
+	for _, c := range []struct {
+		a, b []float64
+		want float64
+	}{
+		{[]float64{1, 2, 3}, []float64{4, 5, 6}, 27.0 / 7},
+		{[]float64{1, 2}, []float64{1, 2}, 0},
+		{[]float64{5, 5}, []float64{5}, 0},
+		{[]float64{1, 1, 2}, []float64{2, 3, inf}, 5 * (2 * 16.0 / 3) / 16.5},
+		{[]float64{0, 0, inf, inf}, []float64{0, 0, 0, inf}, 7.0 / 15},
+		{nil, []float64{1, 2}, 0},
+	} {
+		if got := KruskalWallis(c.a, c.b); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%v %v: %v, want %v", c.a, c.b, got, c.want)
+		}
+	}
+	// Counts are the same test on two values.
+	if got := KruskalWallisCounts(Count{2, 2}, Count{3, 1}); math.Abs(got-7.0/15) > 1e-9 {
+		t.Errorf("counts: %v", got)
+	}
+}
+
+func TestChance(t *testing.T) {
+	c, sum, pairs := Chance{Seed: 3}, 0.0, 0.0
+	for range 4000 {
+		a, b := c.Next(), c.Next()
+		sum += a + b
+		pairs += (a - 0.5) * (b - 0.5)
+	}
+	if math.Abs(sum/8000-0.5) > 0.02 || math.Abs(pairs/4000) > 0.01 {
+		t.Errorf("mean %v, neighbours %v", sum/8000, pairs/4000)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,7 +2,7 @@
 //
 // Callers make one Marshal for each instance with New and give it what happened, in order, through Handle,
 // its only entry point, which returns what is to be done then. It shares nothing, reads no clock, starts
-// nothing. api.go has the types. Grn is a build on trial, blue an earlier one; docs/design.md has the reasons.
+// nothing. api.go has the types. Grn is a build on trial, blue an earlier one. Reasons: docs/design.md.
 package logic
 
 import (
@@ -656,7 +656,7 @@
 // judgeAll judges the earlier build's own nodes against the time before the trial, for a build that slows all
 // nodes alike. It goes by the lower quartile, answers that hardly waited, and by a wider gap.
 func (m *Marshal) judgeAll(b *group) {
-	wide := slowGap * slowGap * m.more(b, 0)
+	wide := math.Pow(slowGap*m.more(b, 0), 2)
 	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, 0, slowGap) &&
 		stats.Quartile(b.grn) >= wide*b.floor.Or(1) {
 		b.rejects++
@@ -681,8 +681,8 @@
 	return true
 }
 
-// more widens the gap where nodes carry more than those of the kept group: lost or cold nodes, a rush, a crowd
-// on few warm ones; far more explains any slowness. A slow build answers no more and draws no more first tries.
+// more widens the gap where nodes carry more than those of the kept group: lost or cold nodes, a rush, a crowd.
+// Far more explains any slowness. A slow build answers no more and draws no more first tries.
 func (m *Marshal) more(g *group, side int) float64 {
 	r := max(1, m.load/max(g.keptLoad, tiny))
 	if g.keptRate > 0 {
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,420 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// A forward ended; whether the hit may be forwarded again, where to, and its answer if not.
+func TestRepeats(t *testing.T) {
+	released := StageNews{Build: 8, Phase: Released, Stage: 2, Cap: 1}
+	for _, c := range []struct {
+		group  GroupName
+		ending Ending
+		after  Millis // time passed until it ended
+		zone   string // "": anywhere, "-": nowhere, "same": in the zone of the first
+		answer string
+	}{
+		{"read", NodeError, 20, "", ""},
+		{"read", Broken, 20, "", ""},
+		{"pay", NodeError, 20, "-", "fail"},
+		{"pay", Broken, 20, "-", "fail"},
+		{"pay", TimedOut, 20, "-", "fail"},
+		{"pay", Recalled, 20, "-", "fail"},
+		{"pay", NodeFull, 20, "", ""},
+		{"pay", Unreachable, 20, "", ""},
+		{"mark", NodeError, 20, "same", ""},
+		{"mark", NodeFull, 20, "", ""},
+		{"mark", NodeError, 995, "-", "fail"}, // the mark is forgotten
+		{"unknown", NodeError, 20, "-", "fail"},
+	} {
+		t.Run(fmt.Sprint(c.group, c.ending, c.after), func(t *testing.T) {
+			r := start(t, released, nil)
+			h, first := r.hit(c.group, "")
+			if first == "" {
+				t.Fatal("no first forward")
+			}
+			r.now += c.after
+			r.end(h, 0, c.ending, c.after)
+			r.wait(600)
+			again := r.sent(h, 1)
+			if (again == "") != (c.zone == "-") || c.zone == "same" && again[0] != first[0] {
+				t.Errorf("first %q, then %q", first, again)
+			}
+			if _, got := r.answers(h); c.zone == "-" && got != c.answer {
+				t.Errorf("answer %q, want %q", got, c.answer)
+			}
+		})
+	}
+}
+
+// Every hit that no node can take gets one answer, long before its own time is up, and nothing after it.
+func TestOneAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ttl  Millis
+		want string
+	}{{"read", 1000, "bounce"}, {"pay", 1000, "bounce"}, {"mark", 30, "bounce"}, {"unknown", 1000, "bounce"}} {
+		r := start(t, trial(0, 0), nil)
+		r.do(NodesChanged{How: Whole})
+		r.do(HitTaken{Hit: 9, Group: GroupName(c.name), TTL: c.ttl})
+		r.wait(c.ttl)
+		r.do(HitGone{Hit: 9})
+		r.do(ForwardEnded{Hit: 9, Ending: NodeError})
+		if n, got := r.answers(9); n != 1 || got != c.want || len(r.m.hits) != 0 {
+			t.Errorf("%s: %d answers, last %q, %d hits kept", c.name, n, got, len(r.m.hits))
+		}
+	}
+}
+
+func TestBounceNamesATime(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		r := start(t, trial(0, 0), func(s *Settings) { s.MayBounceLater = may })
+		r.do(NodesChanged{How: Whole})
+		r.hit("read", "")
+		r.wait(300)
+		for _, a := range r.acts {
+			if b, ok := a.(Bounce); ok && (b.ComeBack > 0) != may || ok && b.ComeBack > r.m.set.MaxComeBack {
+				t.Errorf("may %v: come back in %v", may, b.ComeBack)
+			}
+		}
+	}
+}
+
+// Nothing goes to nodes that drain, are gone, or are missing from a whole list, from that event on.
+func TestDrains(t *testing.T) {
+	draining := node4("a1", 7)
+	draining.State = Draining
+	removed := node4("a1", 7)
+	removed.State = Removed
+	for name, e := range map[string]NodesChanged{
+		"draining": {How: Changes, Nodes: []Node{draining}},
+		"removed":  {How: Changes, Nodes: []Node{removed}},
+		"missing":  {How: Whole, Nodes: []Node{node4("a2", 8), node4("b1", 7), node4("b2", 8)}},
+	} {
+		r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+		r.do(e)
+		for range 100 {
+			if h, to := r.hit("read", ""); to == "a1" {
+				t.Fatalf("%s: hit sent there", name)
+			} else if to != "" {
+				r.end(h, 0, Delivered, 20)
+			}
+		}
+	}
+}
+
+// In every window, wherever it begins and ends, forwards to the build on trial fit free + cap x hits taken. The
+// first fault found: an allowance that was cut back only when a hit came let a later forward overdraw it.
+func TestExposure(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		news StageNews
+		cap  float64 // that binds
+	}{
+		{"first stage", trial(0, 0.1), 0.1},
+		{"middle", trial(1, 0.5), 0.5},
+		{"awkward share", trial(1, 0.84), 0.84},
+		{"last", trial(2, 1), 1},
+		{"told nothing yet", StageNews{}, 0.1},
+		{"unannounced", StageNews{Build: 7, Phase: Released, Stage: 2, Cap: 1}, 0.1},
+		{"going back", StageNews{Build: 8, Phase: GoingBack, Cap: 0}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, c.news, nil)
+			r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a2", 8)}}) // nothing else would take them
+			var took, sent []Millis
+			for i := range 300 {
+				r.now += []Millis{0, 0, 3, 40, 0, 7}[i%6]
+				r.next++
+				events := []Event{HitTaken{Hit: r.next, Group: "read", TTL: 1000}, TimerDue{}}
+				took = append(took, r.now)
+				for _, e := range events[:1+i%2] {
+					for _, a := range r.do(e) {
+						if f, ok := a.(Forward); ok {
+							sent = append(sent, r.now)
+							r.do(ForwardEnded{Hit: f.Hit, Ending: Delivered, Node: f.Node, After: 5, HitEnded: true})
+						}
+					}
+				}
+			}
+			for i := range sent {
+				for j := i; j < len(sent); j++ {
+					n := 0
+					for _, at := range took {
+						if at >= sent[i] && at <= sent[j] {
+							n++
+						}
+					}
+					if float64(j-i+1) > 1+c.cap*float64(n)+1e-9 {
+						t.Fatalf("%d forwards on %d hits from %v to %v", j-i+1, n, sent[i], sent[j])
+					}
+				}
+			}
+			if c.cap == 0 && len(sent) > 0 || c.cap > 0 && len(sent) < int(250*c.cap*c.cap) {
+				t.Errorf("%d forwards", len(sent))
+			}
+		})
+	}
+}
+
+func TestExposureOfEachGroup(t *testing.T) {
+	for _, perGroup := range []bool{false, true} {
+		r := start(t, trial(0, 0.1), func(s *Settings) { s.PerGroup = perGroup })
+		r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a2", 8)}})
+		_, first := r.hit("read", "")
+		if _, second := r.hit("pay", ""); first != "a2" || (second == "a2") != perGroup {
+			t.Errorf("per group %v: %q then %q", perGroup, first, second)
+		}
+	}
+}
+
+// In guarded stages only hits that may run again go to the build on trial.
+func TestGuardedStage(t *testing.T) {
+	for _, c := range []struct {
+		stage int
+		group GroupName
+		may   bool
+	}{{0, "read", true}, {0, "mark", false}, {0, "pay", false}, {0, "unknown", false}, {1, "mark", true},
+		{1, "pay", true}} {
+		r := start(t, trial(c.stage, 1), func(s *Settings) { s.Guarded = 1 })
+		r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a2", 8)}})
+		if _, to := r.hit(c.group, ""); (to != "") != c.may {
+			t.Errorf("stage %d %s: sent to %q", c.stage, c.group, to)
+		}
+	}
+}
+
+// A key that the build on trial answered goes to no earlier one until the build goes back; at the cap or in a
+// guarded stage it is bounced.
+func TestKeysStay(t *testing.T) {
+	r := start(t, trial(1, 1), func(s *Settings) { s.KeysStay = true })
+	r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a2", 8)}})
+	h, to := r.hit("read", "k")
+	if to != "a2" {
+		t.Fatalf("sent to %q", to)
+	}
+	r.end(h, 0, Delivered, 20)
+	r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a1", 7)}})
+	for _, c := range []struct {
+		news StageNews
+		may  bool
+	}{{trial(2, 1), false}, {StageNews{Build: 8, Phase: Released, Cap: 1}, false},
+		{StageNews{Build: 8, Phase: GoingBack}, true}} {
+		r.do(c.news)
+		h, to := r.hit("read", "k")
+		r.wait(300)
+		if n, how := r.answers(h); (to == "a1") != c.may || !c.may && (n != 1 || how != "bounce") {
+			t.Errorf("%+v: sent to %q, %d answers %q", c.news, to, n, how)
+		}
+		o, other := r.hit("read", "other")
+		if r.end(o, 0, Delivered, 20); other != "a1" {
+			t.Errorf("another key went to %q", other)
+		}
+	}
+}
+
+// Cold nodes get no more than warm ones of like units answer, by their least warmth, with the room that the rule
+// leaves; also where no other nodes are left, and a burst comes at once.
+func TestColdNodes(t *testing.T) {
+	for _, onlyCold := range []bool{false, true} {
+		r := start(t, StageNews{Build: 7, Phase: Released, Cap: 1}, func(s *Settings) { s.Groups[0].Target = 200 })
+		for range 400 { // 40 ms apart: each warm node gives 12 answers a second
+			r.wait(40)
+			h, _ := r.hit("read", "")
+			r.end(h, 0, Delivered, 20)
+		}
+		rate := r.m.coldRate
+		cold := node4("a9", 7)
+		cold.Started = r.now
+		list := []Node{cold, node4("a1", 7), node4("b1", 7)}
+		if onlyCold {
+			list = list[:1]
+		}
+		r.do(NodesChanged{How: Whole, Nodes: list})
+		sent := 0
+		for i := range 400 {
+			if i%10 == 0 {
+				r.wait(10)
+			}
+			if h, to := r.hit("read", ""); to != "" {
+				if to == "a9" {
+					sent++
+				}
+				r.end(h, 0, Delivered, 2)
+			}
+		}
+		span := 400.0
+		if most := rate * 2.5 * 0.5 * (span + 1000) * 2; rate <= 0 || float64(sent) > most+2 {
+			t.Errorf("only cold %v: %d forwards in %v ms, rate %v", onlyCold, sent, span, rate)
+		}
+	}
+}
+
+// A node that was out of reach counts as cold from its first answer: it may have restarted unseen.
+func TestBackFromSilence(t *testing.T) {
+	r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+	n := r.m.nodes["a1"]
+	r.m.strike(n)
+	r.now += 100
+	r.m.answered(n)
+	if w := r.m.warmth(n); w != 0.4 || n.strikes != 0 {
+		t.Errorf("warmth %v, strikes %d", w, n.strikes)
+	}
+}
+
+// Hits that may run again leave a silent node; others are never sent twice.
+func TestSilentNode(t *testing.T) {
+	for _, c := range []struct {
+		group GroupName
+		copy  bool
+		want  string
+	}{{"read", false, "cancel"}, {"read", true, "copy"}, {"pay", false, ""}, {"pay", true, ""}} {
+		r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, func(s *Settings) { s.MayCopy = c.copy })
+		var hits []HitID
+		for range 4 {
+			h, _ := r.hit(c.group, "")
+			hits = append(hits, h)
+		}
+		r.wait(950)
+		got := ""
+		for _, a := range r.acts {
+			if _, ok := a.(Cancel); ok && got == "" {
+				got = "cancel"
+			}
+		}
+		for _, h := range hits {
+			if r.sent(h, 1) != "" {
+				got = "copy"
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s, copies %v: %q", c.group, c.copy, got)
+		}
+	}
+}
+
+// judged feeds outcomes of both builds and returns the votes cast.
+func judged(t *testing.T, change func(*Settings), grn func(i int) (Ending, Millis)) *rig {
+	r := start(t, StageNews{Build: 7, Phase: Released, Cap: 1}, change)
+	play := func(n int, of func(i int) (Ending, Millis)) {
+		for i := range n {
+			h, to := r.hit("read", "")
+			if to == "" {
+				r.wait(100)
+				continue
+			}
+			how, after := Delivered, Millis(20+i*7%13)
+			if of != nil && r.m.nodes[to].Build == 8 {
+				how, after = of(i)
+			}
+			r.wait(40)
+			r.end(h, 0, how, after)
+			if f := r.sent(h, 1); f != "" {
+				r.end(h, 1, Delivered, 25)
+			}
+		}
+	}
+	play(120, nil)
+	r.do(trial(1, 0.5))
+	play(300, grn)
+	return r
+}
+
+func TestVotes(t *testing.T) {
+	like := func(i int) (Ending, Millis) { return Delivered, Millis(20 + i*7%13) }
+	slow := func(i int) (Ending, Millis) { return Delivered, Millis(50 + i*7%13) }
+	faster := func(i int) (Ending, Millis) { return Delivered, Millis(10 + i*7%13) }
+	fails := func(i int) (Ending, Millis) {
+		if i%3 == 0 {
+			return NodeError, 5
+		}
+		return like(i)
+	}
+	clock := func(s *Settings) { s.Control = ByClock }
+	for _, c := range []struct {
+		name     string
+		change   func(*Settings)
+		grn      func(int) (Ending, Millis)
+		has, not string
+	}{
+		{"alike", nil, like, "1", "3"},
+		{"faster", nil, faster, "1", "3"},
+		{"slower", nil, slow, "3", ""},
+		{"failing", nil, fails, "3", ""},
+		{"alike under a clock", clock, like, "", "123"},
+		{"slower under a clock", clock, slow, "3", "1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := judged(t, c.change, c.grn).votes()
+			if !strings.Contains(got, c.has) || c.not != "" && strings.ContainsAny(got, c.not) {
+				t.Errorf("votes %q, want %q and none of %q", got, c.has, c.not)
+			}
+		})
+	}
+}
+
+// Failures at one of several trial nodes are that node's trouble.
+func TestOneFailingNode(t *testing.T) {
+	for _, c := range []struct {
+		bad  []float64 // failures among 30 outcomes, by trial node
+		back bool
+	}{{[]float64{20, 0}, false}, {[]float64{10, 10}, true}, {[]float64{20}, true},
+		{[]float64{20, 0, 0, 0, 0}, false}} {
+		r := start(t, trial(1, 0.5), nil)
+		var list []Node
+		for i := range c.bad {
+			list = append(list, node4(NodeID(fmt.Sprint("a", i)), 8))
+		}
+		r.do(NodesChanged{How: Whole, Nodes: append(list, node4("a9", 7))})
+		r.m.nodes["a9"].tally[0].Good = 90
+		for i, bad := range c.bad {
+			tally := &r.m.nodes[list[i].ID].tally[0]
+			tally.Good, tally.Bad = 30-bad, bad
+		}
+		if k, _ := r.m.failing(); (k >= 2*rejectAt) != c.back {
+			t.Errorf("%v: statistic %v", c.bad, k)
+		}
+	}
+}
+
+// One group that was fast by chance must not make a build look slow; nor may nodes that carry far more.
+func TestSlower(t *testing.T) {
+	twenty := func(v float64) (out []float64) {
+		for i := range groupSize {
+			out = append(out, v+float64(i)/100)
+		}
+		return out
+	}
+	for _, c := range []struct {
+		older, kept, got, load float64
+		want                   bool
+	}{{1, 1, 2, 1, true}, {2, 1, 2, 1, false}, {1, 1, 1.1, 1, false}, {1, 1, 2, 1.5, false}, {1, 1, 2, 1.1, true},
+		{1, 1, 1.4, 1.1, false}} {
+		r := start(t, trial(1, 0.5), nil)
+		r.m.load = c.load
+		g := &group{older: twenty(c.older), kept: twenty(c.kept), keptLoad: 1}
+		if got := r.m.slower(g, twenty(c.got), 1, 1); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
+
+// The same events bring the same actions, and a marshal that starts anew under way keeps the rules without news.
+func TestAlike(t *testing.T) {
+	run := func() string {
+		r := start(t, trial(1, 0.5), nil)
+		for i := range 200 {
+			h, to := r.hit([]GroupName{"read", "mark", "pay"}[i%3], Key(fmt.Sprint(i%9)))
+			r.wait(20)
+			if to != "" && i%4 > 0 {
+				r.end(h, 0, Ending(i%6), 30)
+			}
+		}
+		return fmt.Sprint(r.acts)
+	}
+	if run() != run() {
+		t.Error("two runs differ")
+	}
+}
