--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,7 +59,7 @@
 	pins                 map[uint16]bool      // hashes of keys that pinBuild answered
 	pinBuild             Build
 	share, taken         float64    // of hits that go to grn; first tries since the last look
-	pressure, load       float64    // first tries a ms; the same to what one unit of all nodes can do
+	pressure, load       float64    // first tries a ms; to what one unit of nodes at home can do
 	typical, least       Millis     // answer time over all nodes, and the least it was, creeping up
 	rate, delivered      [2]float64 // of blue and grn: answers a ms of a warm unit; the newest
 	coldRate             float64    // the busier build's rate, as last seen
@@ -485,7 +485,7 @@
 // ---- Looking around ----
 
 func (m *Marshal) lookAround() {
-	var full float64
+	var home float64
 	var units, use [2]float64 // warm units, and what all can do, of blue and grn
 	for _, n := range m.list {
 		n.fail *= 1 - m.period/m.set.WarmAfter
@@ -493,7 +493,9 @@
 			m.strike(n)
 		}
 		if w := m.warmth(n); n.State == Up && n.strikes == 0 {
-			full += n.Units * w
+			if n.Zone == m.set.Zone {
+				home += n.Units * w
+			}
 			if w >= 1 {
 				units[m.side(n)] += n.Units
 			}
@@ -503,7 +505,7 @@
 	}
 	recent := min(1, m.period/m.set.OverFor)
 	m.pressure += recent * (m.taken/m.period - m.pressure)
-	m.taken, m.load = 0, m.pressure/max(full, tiny)
+	m.taken, m.load = 0, m.pressure/max(home, tiny)
 	// Danger: in the last stage few grn nodes are warm; measured by idle blue ones, the cold get so little that
 	// those are crowded. So the busier build sets the rate, by answers, which no node gives beyond its power.
 	busier := 0.0
