--- a/logic/logic.go
+++ b/logic/logic.go
@@ -508,14 +508,14 @@
 	m.taken, m.load = 0, m.pressure/max(home, tiny)
 	// Danger: in the last stage few grn nodes are warm; measured by idle blue ones, the cold get so little that
 	// those are crowded. So the busier build sets the rate, by answers, which no node gives beyond its power.
-	busier := 0.0
 	for k := range units {
-		if units[k] > 0 {
-			m.rate[k] += recent * (m.delivered[k]/units[k]/m.period - m.rate[k])
-			busier = max(busier, m.rate[k])
+		if units[k] == 0 {
+			m.delivered[k] = 0
 		}
+		m.rate[k] += recent * (m.delivered[k]/max(units[k], tiny)/m.period - m.rate[k])
 		m.delivered[k] = 0
 	}
+	busier := max(m.rate[0], m.rate[1])
 	m.coldRate = cmp.Or(busier, m.coldRate)
 	for _, n := range m.list {
 		rate := max(m.coldRate*n.Units*m.warmth(n)*math.Sqrt(m.set.OverFactor), 1/m.set.OverFor)
@@ -632,7 +632,7 @@
 			to.floor.Add(stats.Quartile(to.kept), memory)
 		}
 	}
-	if b := m.before; !grn && m.news.Phase == OnTrial && g.paceBefore > 0 {
+	if b := m.before; g.paceBefore > 0 {
 		if b.grn = append(b.grn, v/g.paceBefore/kind.Or(1)); len(b.grn) == groupSize {
 			m.judgeAll(b)
 		}
@@ -645,7 +645,7 @@
 	g.grn, g.prev = nil, grn
 	switch {
 	case g.kept == nil:
-	case m.slower(g, grn, 1, 1):
+	case m.slower(g, grn, m.rate[1], 1):
 		// Danger: under a build too slow for its load no two groups agree, so rejections don't wait for that.
 		g.agrees = false
 		g.rejects++
@@ -655,11 +655,11 @@
 	}
 }
 
-// judgeAll judges the earlier build's own nodes against the time before the trial, for a build that slows all
-// nodes alike. It goes by the lower quartile, answers that hardly waited, and by a wider gap.
+// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows all alike;
+// by the lower quartile, answers that hardly waited, and by a wider gap. It goes on after the release.
 func (m *Marshal) judgeAll(b *group) {
-	wide := math.Pow(slowGap*m.more(b, 0), 2)
-	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, 0, slowGap) &&
+	wide := math.Pow(slowGap*m.more(b, max(m.rate[0], m.rate[1])), 2)
+	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, max(m.rate[0], m.rate[1]), slowGap) &&
 		stats.Quartile(b.grn) >= wide*b.floor.Or(1) {
 		b.rejects++
 	} else {
@@ -670,13 +670,13 @@
 
 // slower tells whether outcomes are clearly slower than the last two groups of the earlier build. Danger:
 // against one, a group that was fast by chance sends a good build back.
-func (m *Marshal) slower(g *group, got []float64, side int, wider float64) bool {
+func (m *Marshal) slower(g *group, got []float64, rate, wider float64) bool {
 	for _, blue := range [][]float64{g.older, g.kept} {
 		if len(blue) == 0 || len(got) == 0 {
 			return false
 		}
 		g.gap = stats.Median(got) / stats.Median(blue)
-		if stats.KruskalWallis(blue, got) < rejectAt || g.gap < slowGap*wider*m.more(g, side) {
+		if stats.KruskalWallis(blue, got) < rejectAt || g.gap < slowGap*wider*m.more(g, rate) {
 			return false
 		}
 	}
@@ -684,14 +684,14 @@
 }
 
 // more widens the gap where nodes carry more than those of the kept group: lost or cold nodes, a rush, a crowd.
-// Far more explains any slowness. A slow build answers no more and draws no more first tries.
-func (m *Marshal) more(g *group, side int) float64 {
-	r := max(1, m.load/max(g.keptLoad, tiny))
-	if g.keptRate > 0 {
-		r = max(r, m.rate[side]/g.keptRate)
-	}
-	if r >= slowGap {
-		r = math.Inf(1)
+// Far more explains any slowness, unless they answer clearly less than before: then they can do less.
+func (m *Marshal) more(g *group, rate float64) float64 {
+	r := max(1, m.load/max(g.keptLoad, tiny), rate/max(g.keptRate, tiny))
+	switch {
+	case g.keptRate > 0 && rate*slowGap < g.keptRate:
+		return 1
+	case r >= slowGap:
+		return math.Inf(1)
 	}
 	return r * r * r
 }
@@ -780,7 +780,7 @@
 		return VoteBack, fmt.Sprintf("it fails more often, K %.1f", failing)
 	case trial && back != nil:
 		return VoteBack, fmt.Sprintf("path group %q clearly slower twice, by %.2f at last", back.Name, back.gap)
-	case trial && m.before.rejects >= 4*backAfter:
+	case m.before.rejects >= 4*backAfter:
 		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", m.before.gap)
 	case trial && m.set.Control == ByClock && reject:
 		return VoteHold, "clearly slower once"
@@ -789,7 +789,7 @@
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
 	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 &&
-		!m.slower(m.pool, m.pool.grn, 1, 1):
+		!m.slower(m.pool, m.pool.grn, m.rate[1], 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, "not settled"
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -394,7 +394,7 @@
 		{1, 1, 1.4, 1.1, false}} {
 		r := start(t, trial(1, 0.5), nil)
 		r.m.load = c.load
-		g := &group{older: twenty(c.older), kept: twenty(c.kept), keptLoad: 1}
+		g := &group{older: twenty(c.older), kept: twenty(c.kept), keptLoad: 1, keptRate: 1}
 		if got := r.m.slower(g, twenty(c.got), 1, 1); got != c.want {
 			t.Errorf("%+v: %v", c, got)
 		}
