--- a/logic/logic.go
+++ b/logic/logic.go
@@ -397,7 +397,7 @@
 // paceLimit lets the in-flight limit follow the shortest over the present answer time.
 func (m *Marshal) paceLimit(n *node, after Millis) {
 	n.ans += freshness * (after - n.ans)
-	most := max(2, slack*m.pool.Target/m.least/float64(m.set.Marshals))
+	most := max(2, m.pool.Target/m.least/float64(m.set.Marshals))
 	grow := min(1, m.pool.Target/m.least/float64(m.set.Marshals)/slack)
 	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*m.least/n.ans)-1)+grow), most)
 }
