--- a/logic/logic.go
+++ b/logic/logic.go
@@ -194,7 +194,7 @@
 			n = nil
 		}
 		if in.State != Removed && n == nil {
-			n = &node{coldAt: in.Started, ans: m.typical, limit: 2, budget: 1,
+			n = &node{coldAt: in.Started, ans: m.typical, limit: 1, budget: 1,
 				tally: make([]stats.Count, len(m.order)+1)}
 			m.nodes[in.ID] = n
 		}
@@ -397,7 +397,7 @@
 // paceLimit lets the in-flight limit follow the shortest over the present answer time.
 func (m *Marshal) paceLimit(n *node, after Millis) {
 	n.ans += freshness * (after - n.ans)
-	most := max(2, m.pool.Target/m.least/float64(m.set.Marshals))
+	most := max(1, m.pool.Target/m.least/float64(m.set.Marshals)/slack)
 	grow := min(1, m.pool.Target/m.least/float64(m.set.Marshals)/slack)
 	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*m.least/n.ans)-1)+grow), most)
 }
