--- a/logic/logic.go
+++ b/logic/logic.go
@@ -127,6 +127,7 @@
 		m.pool.Target = max(m.pool.Target, g.Target)
 	}
 	m.period = max(min(m.period, m.pool.Target), set.Granularity, 1)
+	m.set.WarmAfter, m.set.OverFor = max(set.WarmAfter, m.period), max(set.OverFor, m.period) // divisors
 	m.typical, m.least = m.pool.Target*patience, m.pool.Target*patience
 	return m
 }
@@ -174,8 +175,6 @@
 
 func (m *Marshal) do(a Action) { m.acts = append(m.acts, a) }
 
-// ---- The list of nodes ----
-
 func (m *Marshal) nodesChanged(e NodesChanged) {
 	if e.How == ListRefused {
 		m.askAt = m.now + m.set.AskWithin*freshness*(0.5+m.chance.Next())
@@ -394,12 +393,15 @@
 	}
 }
 
-// paceLimit lets the in-flight limit follow the shortest over the present answer time.
+// paceLimit lets the in-flight limit follow the shortest over the present answer time; all marshals together hold
+// at a node what it does one by one in half a target latency. Danger: grown unused, it lets a rush fill the nodes.
 func (m *Marshal) paceLimit(n *node, after Millis) {
 	n.ans += freshness * (after - n.ans)
-	most := max(1, m.pool.Target/m.least/float64(m.set.Marshals)/slack)
-	grow := min(1, m.pool.Target/m.least/float64(m.set.Marshals)/slack)
-	n.limit = min(n.limit+freshness*(n.limit*(min(1, slack*m.least/n.ans)-1)+grow), most)
+	most := m.pool.Target / m.least / float64(m.set.Marshals) / slack
+	n.limit -= freshness * n.limit * (1 - min(1, slack*m.least/n.ans))
+	if float64(n.out+1) >= n.limit {
+		n.limit = min(n.limit+freshness*min(1, most)/slack, max(1, most))
+	}
 }
 
 // serve gives waiting hits their forwards: first forwards before further ones.
@@ -482,8 +484,6 @@
 	return risk
 }
 
-// ---- Looking around ----
-
 func (m *Marshal) lookAround() {
 	var home float64
 	var units, use [2]float64 // warm units, and what all can do, of blue and grn
@@ -515,8 +515,9 @@
 		m.rate[k] += recent * (m.delivered[k]/max(units[k], tiny)/m.period - m.rate[k])
 		m.delivered[k] = 0
 	}
-	busier := max(m.rate[0], m.rate[1])
-	m.coldRate = cmp.Or(busier, m.coldRate)
+	if units[0]+units[1] > 0 { // with only cold nodes left, as last seen
+		m.coldRate = max(m.rate[0], m.rate[1])
+	}
 	for _, n := range m.list {
 		rate := max(m.coldRate*n.Units*m.warmth(n)*math.Sqrt(m.set.OverFactor), 1/m.set.OverFor)
 		n.budget = min(n.budget+rate*m.period, 1+rate*m.set.OverFor*patience)
@@ -554,8 +555,6 @@
 	}
 }
 
-// ---- Exposure ----
-
 // allowance is what may still go to builds on trial. The cap of each hit taken fills it, and it holds the
 // free number at most from one instant to the next; so forwards number at most free + cap x taken in every
 // window, wherever it ends. Danger: a window of buckets holds only for windows that end at a forward.
