--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	groups               map[GroupName]*group
 	order                []*group // path groups as in the settings
 	pool                 *group   // all of them, each by its pace, so that thin marshals fill groups too
-	before               *group   // the pool from before the trial, for builds that slow all nodes
+	before               group    // the pool from before the trial, for builds that slow all nodes
 	nodes                map[NodeID]*node
 	list                 []*node              // nodes by id; the list of nodes empties it
 	hits                 map[HitID]*hit       // open hits; their endings empty it
@@ -116,7 +116,7 @@
 // New makes an instance that knows nothing but its settings.
 func New(set Settings, seed uint64) *Marshal {
 	m := &Marshal{set: set, chance: stats.Chance{Seed: seed}, period: math.Inf(1), troubleAt: math.Inf(-1),
-		groups: map[GroupName]*group{}, nodes: map[NodeID]*node{}, hits: map[HitID]*hit{}, before: &group{},
+		groups: map[GroupName]*group{}, nodes: map[NodeID]*node{}, hits: map[HitID]*hit{},
 		kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}}
 	m.room.level = set.Free
 	m.pool = &group{room: m.room, index: len(set.Groups)}
@@ -233,8 +233,8 @@
 	if n.strikes++; n.strikes > 1 {
 		m.troubleAt = m.now
 	}
-	rest := m.pool.Target * freshness * math.Pow(2, float64(n.strikes))
-	n.shut = m.now + min(m.set.WarmAfter, rest)*(0.5+m.chance.Next())
+	rest := m.pool.Target * freshness * math.Exp2(float64(n.strikes)) * (0.5 + m.chance.Next())
+	n.shut = m.now + min(m.set.WarmAfter, rest)
 }
 
 // ---- Hits and their one final answer ----
@@ -242,9 +242,7 @@
 func (m *Marshal) take(e HitTaken) {
 	h := &hit{id: e.Hit, taken: m.now, ends: m.now + e.TTL, place: m.chance.Next()}
 	h.group = cmp.Or(m.groups[e.Group], m.pool) // not in the settings: the most careful effect
-	if e.Key != "" {
-		h.key = crc32.ChecksumIEEE([]byte(e.Key)) | 1
-	}
+	h.key = crc32.ChecksumIEEE([]byte(e.Key)) | uint32(min(1, len(e.Key)))
 	if m.set.KeysStay && h.key != 0 {
 		// A slice of the key space by hash, growing with the stage, so that few keys ever change sides.
 		h.place = float64(h.key) / (1 << 32)
@@ -393,8 +391,8 @@
 	}
 }
 
-// paceLimit lets the in-flight limit follow the shortest over the present answer time; all marshals together hold
-// at a node what it does one by one in half a target latency. Danger: grown unused, it lets a rush fill the nodes.
+// paceLimit lets the in-flight limit follow the shortest over the present answer time. All marshals together
+// hold at a node half a target latency of work. Danger: grown unused, a limit lets a rush fill the nodes.
 func (m *Marshal) paceLimit(n *node, after Millis) {
 	n.ans += freshness * (after - n.ans)
 	most := m.pool.Target / m.least / float64(m.set.Marshals) / slack
@@ -631,7 +629,7 @@
 			to.floor.Add(stats.Quartile(to.kept), memory)
 		}
 	}
-	if b := m.before; g.paceBefore > 0 {
+	if b := &m.before; g.paceBefore > 0 {
 		if b.grn = append(b.grn, v/g.paceBefore/kind.Or(1)); len(b.grn) == groupSize {
 			m.judgeAll(b)
 		}
@@ -654,8 +652,8 @@
 	}
 }
 
-// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows all alike;
-// by the lower quartile, answers that hardly waited, and by a wider gap. It goes on after the release.
+// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows all; by a
+// wider gap, and by the lower quartile, answers that hardly waited. It goes on after the release.
 func (m *Marshal) judgeAll(b *group) {
 	wide := math.Pow(slowGap*m.more(b, max(m.rate[0], m.rate[1])), 2)
 	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, max(m.rate[0], m.rate[1]), slowGap) &&
@@ -682,8 +680,8 @@
 	return true
 }
 
-// more widens the gap where nodes carry more than those of the kept group: lost or cold nodes, a rush, a crowd.
-// Far more explains any slowness, unless they answer clearly less than before: then they can do less.
+// more widens the gap where nodes carry more than those of the kept group: lost or cold nodes, a rush. Much
+// more explains any slowness, unless they answer clearly less than before: then they can do less.
 func (m *Marshal) more(g *group, rate float64) float64 {
 	r := max(1, m.load/max(g.keptLoad, tiny), rate/max(g.keptRate, tiny))
 	switch {
@@ -749,8 +747,7 @@
 		}
 	}
 	if e.Build != old.Build {
-		b := *m.pool // its groups are not written to again
-		m.before = &b
+		m.before = *m.pool // its groups are not written to again
 		for _, n := range m.list {
 			clear(n.tally)
 		}
@@ -784,7 +781,6 @@
 	case trial && m.set.Control == ByClock && reject:
 		return VoteHold, "clearly slower once"
 	case !trial || m.set.Control == ByClock || failing >= rejectAt || reject:
-		return VoteNone, "not settled"
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
 	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 &&
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// In every window, wherever it begins and ends, forwards to the build on trial fit free + cap x hits taken. The
-// first fault found: an allowance that was cut back only when a hit came let a later forward overdraw it.
+// In every window, wherever it begins and ends, forwards to the build on trial fit free + cap x hits taken.
+// The first fault found: an allowance that was cut back only when a hit came let a later forward overdraw it.
 func TestExposure(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -216,8 +216,8 @@
 	}
 }
 
-// Cold nodes get no more than warm ones of like units answer, by their least warmth, with the room that the rule
-// leaves; also where no other nodes are left, and a burst comes at once.
+// Cold nodes get no more than warm ones of like units answer, by their least warmth, with the room that the
+// rule leaves; also where no other nodes are left, and a burst comes at once.
 func TestColdNodes(t *testing.T) {
 	for _, onlyCold := range []bool{false, true} {
 		r := start(t, StageNews{Build: 7, Phase: Released, Cap: 1}, func(s *Settings) { s.Groups[0].Target = 200 })
@@ -391,8 +391,8 @@
 	for _, c := range []struct {
 		older, kept, got, load float64
 		want                   bool
-	}{{1, 1, 2, 1, true}, {2, 1, 2, 1, false}, {1, 1, 1.1, 1, false}, {1, 1, 2, 1.5, false}, {1, 1, 2, 1.1, true},
-		{1, 1, 1.4, 1.1, false}} {
+	}{{1, 1, 2, 1, true}, {2, 1, 2, 1, false}, {1, 1, 1.1, 1, false}, {1, 1, 2, 1.5, false},
+		{1, 1, 2, 1.1, true}, {1, 1, 1.4, 1.1, false}} {
 		r := start(t, trial(1, 0.5), nil)
 		r.m.load = c.load
 		g := &group{older: twenty(c.older), kept: twenty(c.kept), keptLoad: 1, keptRate: 1}
@@ -402,7 +402,7 @@
 	}
 }
 
-// The same events bring the same actions, and a marshal that starts anew under way keeps the rules without news.
+// The same events bring the same actions.
 func TestAlike(t *testing.T) {
 	run := func() string {
 		r := start(t, trial(1, 0.5), nil)
