--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,8 +16,7 @@
 	"ottershed/internal/stats"
 )
 
-// The figures of the design page.
-const (
+const ( // the figures of the design page
 	groupSize  = 20     // answers in a group
 	rejectAt   = 3.84   // the test statistic from which two groups differ
 	slowGap    = 1.25   // medians this far apart are clearly slower
@@ -25,8 +24,7 @@
 	blindAfter = 4000.0 // ms into a stage without full groups
 )
 
-// Ours; shares of figures from the settings or of what is seen.
-const (
+const ( // ours; shares of figures from the settings or of what is seen
 	freshness = 0.15          // weight of the newest answer in what is known of a node
 	avoidHush = 4.0           // silence, as -log of its likelihood, from which a node gets nothing new
 	leaveHush = 8.0           // and from which what it holds is moved
@@ -652,8 +650,8 @@
 	}
 }
 
-// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows all; by a
-// wider gap, and by the lower quartile, answers that hardly waited. It goes on after the release.
+// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows all alike:
+// by a wider gap, and by the lower quartile, answers that hardly waited. It goes on after the release.
 func (m *Marshal) judgeAll(b *group) {
 	wide := math.Pow(slowGap*m.more(b, max(m.rate[0], m.rate[1])), 2)
 	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, max(m.rate[0], m.rate[1]), slowGap) &&
