--- a/logic/logic.go
+++ b/logic/logic.go
@@ -270,7 +270,7 @@
 func (m *Marshal) giveUp(h *hit) {
 	if b := (Bounce{Hit: h.id}); m.mayBounce(h) {
 		if m.set.MayBounceLater {
-			b.ComeBack = min(m.set.MaxComeBack, h.Target)
+			b.ComeBack = min(m.set.MaxComeBack, h.Target*patience)
 		}
 		m.do(b)
 	} else {
