--- a/logic/logic.go
+++ b/logic/logic.go
@@ -533,12 +533,13 @@
 	m.consider()
 }
 
-// moveOff takes hits that may run again away from silent nodes.
+// moveOff takes hits that may run again away from silent nodes. Danger: moved off at once, the hit that tries a
+// node out after its rest never brings it back.
 func (m *Marshal) moveOff() {
 	for _, id := range slices.Sorted(maps.Keys(m.hits)) {
 		h, i := m.hits[id], len(m.hits[id].forwards)-1
 		if h.done || h.out != 1 || h.Effect == Mutating || !h.forwards[i].out || h.forwards[i].moved ||
-			h.forwards[i].strikes == 0 && m.hush(h.forwards[i].node) < leaveHush {
+			(h.forwards[i].strikes == 0 || m.now >= h.forwards[i].shut) && m.hush(h.forwards[i].node) < leaveHush {
 			continue
 		}
 		if m.set.MayCopy {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -266,6 +266,26 @@
 	}
 }
 
+// The one hit that tries a struck node out stays there until it is answered or silence says more; moved off at
+// once, as it first was, it never brought a node back.
+func TestTryingOut(t *testing.T) {
+	r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+	r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a2", 8)}})
+	r.m.strike(r.m.nodes["a2"])
+	r.wait(300)
+	h, to := r.hit("read", "")
+	r.wait(60)
+	r.end(h, 0, Delivered, 60)
+	if to != "a2" || r.m.nodes["a2"].strikes != 0 {
+		t.Errorf("sent to %q, strikes %d", to, r.m.nodes["a2"].strikes)
+	}
+	for _, a := range r.acts {
+		if _, ok := a.(Cancel); ok {
+			t.Error("called off")
+		}
+	}
+}
+
 // Hits that may run again leave a silent node; others are never sent twice.
 func TestSilentNode(t *testing.T) {
 	for _, c := range []struct {
