--- a/logic/logic.go
+++ b/logic/logic.go
@@ -533,8 +533,8 @@
 	m.consider()
 }
 
-// moveOff takes hits that may run again away from silent nodes. Danger: moved off at once, the hit that tries a
-// node out after its rest never brings it back.
+// moveOff takes hits that may run again away from silent nodes. Danger: moved off at once, the hit that tries
+// a node out after its rest never brings it back.
 func (m *Marshal) moveOff() {
 	for _, id := range slices.Sorted(maps.Keys(m.hits)) {
 		h, i := m.hits[id], len(m.hits[id].forwards)-1
@@ -651,7 +651,7 @@
 	}
 }
 
-// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows all alike:
+// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows them all:
 // by a wider gap, and by the lower quartile, answers that hardly waited. It goes on after the release.
 func (m *Marshal) judgeAll(b *group) {
 	wide := math.Pow(slowGap*m.more(b, max(m.rate[0], m.rate[1])), 2)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -266,8 +266,8 @@
 	}
 }
 
-// The one hit that tries a struck node out stays there until it is answered or silence says more; moved off at
-// once, as it first was, it never brought a node back.
+// The one hit that tries a struck node out stays there until it is answered or silence says more; moved off
+// at once, as it first was, it never brought a node back.
 func TestTryingOut(t *testing.T) {
 	r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
 	r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a2", 8)}})
