--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,8 +56,7 @@
 	room                 allowance            // exposure over all path groups
 	pins                 map[uint16]bool      // hashes of keys that pinBuild answered
 	pinBuild             Build
-	share, taken         float64    // of hits that go to grn; first tries since the last look
-	pressure, load       float64    // first tries a ms; to what one unit of nodes at home can do
+	share                float64    // of hits that go to grn
 	typical, least       Millis     // answer time over all nodes, and the least it was, creeping up
 	rate, delivered      [2]float64 // of blue and grn: answers a ms of a warm unit; the newest
 	coldRate             float64    // the busier build's rate, as last seen
@@ -69,16 +68,15 @@
 // group is a path group with what its outcomes say of the builds.
 type group struct {
 	PathGroup
-	index              int
-	room               allowance
-	pace, floor        stats.Mean // of the earlier build, and of the lower quartiles of its groups
-	paceBefore         float64    // as it was when the build was offered
-	blue, kept, older  []float64  // filling group of the earlier build, its last full one and the one before
-	grn, prev          []float64  // filling and last full group of the build on trial
-	keptRate, keptLoad float64    // the earlier build's rate, and the load, when its group was full
-	agrees             bool
-	rejects            int
-	gap                float64 // of medians, at the last look
+	index             int
+	room              allowance
+	pace, floor       stats.Mean // of the earlier build, and of the lower quartiles of its groups
+	paceBefore        float64    // as it was when the build was offered
+	blue, kept, older []float64  // filling group of the earlier build, its last full one and the one before
+	grn, prev         []float64  // filling and last full group of the build on trial
+	agrees            bool
+	rejects           int
+	gap               float64 // of medians, at the last look
 }
 
 type node struct {
@@ -246,9 +244,6 @@
 		h.place = float64(h.key) / (1 << 32)
 	}
 	m.hits[h.id] = h
-	if !e.Retried {
-		m.taken++
-	}
 	*m.left(h) += m.fill()
 	m.lines[0] = append(m.lines[0], h)
 	m.serve()
@@ -481,7 +476,6 @@
 }
 
 func (m *Marshal) lookAround() {
-	var home float64
 	var units, use [2]float64 // warm units, and what all can do, of blue and grn
 	for _, n := range m.list {
 		n.fail *= 1 - m.period/m.set.WarmAfter
@@ -489,9 +483,6 @@
 			m.strike(n)
 		}
 		if w := m.warmth(n); n.State == Up && n.strikes == 0 {
-			if n.Zone == m.set.Zone {
-				home += n.Units * w
-			}
 			if w >= 1 {
 				units[m.side(n)] += n.Units
 			}
@@ -500,8 +491,6 @@
 		}
 	}
 	recent := min(1, m.period/m.set.OverFor)
-	m.pressure += recent * (m.taken/m.period - m.pressure)
-	m.taken, m.load = 0, m.pressure/max(home, tiny)
 	// Danger: in the last stage few grn nodes are warm; measured by idle blue ones, the cold get so little that
 	// those are crowded. So the busier build sets the rate, by answers, which no node gives beyond its power.
 	for k := range units {
@@ -620,11 +609,10 @@
 		x := v / g.pace.Or(1) / kind.Or(1)
 		if grn {
 			if to.grn = append(to.grn, x); len(to.grn) == groupSize {
-				m.judge(to)
+				to.judge()
 			}
 		} else if to.blue = append(to.blue, x); len(to.blue) == groupSize {
-			to.older, to.kept, to.blue, to.keptRate, to.keptLoad =
-				to.kept, to.blue, nil, m.rate[m.side(n)], m.load
+			to.older, to.kept, to.blue = to.kept, to.blue, nil
 			to.floor.Add(stats.Quartile(to.kept), memory)
 		}
 	}
@@ -636,12 +624,12 @@
 }
 
 // judge compares a full group of the build on trial.
-func (m *Marshal) judge(g *group) {
+func (g *group) judge() {
 	grn, prev := g.grn, g.prev
 	g.grn, g.prev = nil, grn
 	switch {
 	case g.kept == nil:
-	case m.slower(g, grn, m.rate[1], 1):
+	case g.slower(grn, 1):
 		// Danger: under a build too slow for its load no two groups agree, so rejections don't wait for that.
 		g.agrees = false
 		g.rejects++
@@ -654,9 +642,8 @@
 // judgeAll judges the nodes of both builds against the time before the trial, for a build that slows them all:
 // by a wider gap, and by the lower quartile, answers that hardly waited. It goes on after the release.
 func (m *Marshal) judgeAll(b *group) {
-	wide := math.Pow(slowGap*m.more(b, max(m.rate[0], m.rate[1])), 2)
-	if m.now-m.troubleAt >= m.set.WarmAfter && m.slower(b, b.grn, max(m.rate[0], m.rate[1]), slowGap) &&
-		stats.Quartile(b.grn) >= wide*b.floor.Or(1) {
+	if m.now-m.troubleAt >= m.set.WarmAfter && b.slower(b.grn, slowGap) &&
+		stats.Quartile(b.grn) >= slowGap*slowGap*b.floor.Or(1) {
 		b.rejects++
 	} else {
 		b.rejects = 0
@@ -666,32 +653,19 @@
 
 // slower tells whether outcomes are clearly slower than the last two groups of the earlier build. Danger:
 // against one, a group that was fast by chance sends a good build back.
-func (m *Marshal) slower(g *group, got []float64, rate, wider float64) bool {
+func (g *group) slower(got []float64, wider float64) bool {
 	for _, blue := range [][]float64{g.older, g.kept} {
 		if len(blue) == 0 || len(got) == 0 {
 			return false
 		}
 		g.gap = stats.Median(got) / stats.Median(blue)
-		if stats.KruskalWallis(blue, got) < rejectAt || g.gap < slowGap*wider*m.more(g, rate) {
+		if stats.KruskalWallis(blue, got) < rejectAt || g.gap < slowGap*wider {
 			return false
 		}
 	}
 	return true
 }
 
-// more widens the gap where nodes carry more than those of the kept group: lost or cold nodes, a rush. Much
-// more explains any slowness, unless they answer clearly less than before: then they can do less.
-func (m *Marshal) more(g *group, rate float64) float64 {
-	r := max(1, m.load/max(g.keptLoad, tiny), rate/max(g.keptRate, tiny))
-	switch {
-	case g.keptRate > 0 && rate*slowGap < g.keptRate:
-		return 1
-	case r >= slowGap:
-		return math.Inf(1)
-	}
-	return r * r * r
-}
-
 // failing is the strongest sign, in one path group or in all, that grn fails more often, by the same test on
 // good and bad; and how much was seen. The worst quarter of several nodes is left out: trouble of its own.
 func (m *Marshal) failing() (worst, seen float64) {
@@ -783,7 +757,7 @@
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
 	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 &&
-		!m.slower(m.pool, m.pool.grn, m.rate[1], 1):
+		!m.pool.slower(m.pool.grn, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, "not settled"
