--- a/logic/logic.go
+++ b/logic/logic.go
@@ -749,14 +749,16 @@
 		return VoteBack, fmt.Sprintf("it fails more often, K %.1f", failing)
 	case trial && back != nil:
 		return VoteBack, fmt.Sprintf("path group %q clearly slower twice, by %.2f at last", back.Name, back.gap)
-	case m.before.rejects >= 4*backAfter:
+	case m.before.rejects >= 4*backAfter && (trial || m.now-m.stageAt < 3*m.set.WarmAfter):
 		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", m.before.gap)
 	case trial && m.set.Control == ByClock && reject:
 		return VoteHold, "clearly slower once"
 	case !trial || m.set.Control == ByClock || failing >= rejectAt || reject:
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
+	// Danger: cold nodes hide a slow build, so the vote that opens the whole fleet takes outcomes of warm ones.
 	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 &&
+		(next < 1 || len(m.pool.grn)+len(m.pool.prev) >= groupSize/2) &&
 		!m.pool.slower(m.pool.grn, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
