--- a/logic/logic.go
+++ b/logic/logic.go
@@ -757,7 +757,7 @@
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
 	// Danger: cold nodes hide a slow build, so the vote that opens the whole fleet takes outcomes of warm ones.
-	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/2 &&
+	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/4 &&
 		(next < 1 || len(m.pool.grn)+len(m.pool.prev) >= groupSize/2) &&
 		!m.pool.slower(m.pool.grn, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
