--- a/logic/logic.go
+++ b/logic/logic.go
@@ -639,8 +639,8 @@
 	}
 }
 
-// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows them all:
-// by a wider gap, and by the lower quartile, answers that hardly waited. It goes on after the release.
+// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows them all;
+// by a wider gap, and by the lower quartile, answers that hardly waited. It goes on for a while when released.
 func (m *Marshal) judgeAll(b *group) {
 	if m.now-m.troubleAt >= m.set.WarmAfter && b.slower(b.grn, slowGap) &&
 		stats.Quartile(b.grn) >= slowGap*slowGap*b.floor.Or(1) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -376,6 +376,37 @@
 	}
 }
 
+// The blind vote that opens the whole fleet takes outcomes of warm nodes; on cold ones a slow build passed.
+func TestBlindVote(t *testing.T) {
+	for _, c := range []struct {
+		stage, outcomes, warm int
+		want                  Verdict
+	}{{0, 5, 0, VoteOn}, {0, 1, 0, VoteNone}, {1, 5, 0, VoteNone}, {1, 5, 10, VoteOn}, {2, 30, 9, VoteNone}} {
+		r := start(t, trial(c.stage, 0.5), nil)
+		r.m.nodes["a2"].tally[r.m.pool.index].Good = float64(c.outcomes)
+		r.m.pool.grn = make([]float64, c.warm)
+		r.m.now += blindAfter
+		if got, why := r.m.verdict(); got != c.want {
+			t.Errorf("%+v: %v, %s", c, got, why)
+		}
+	}
+}
+
+// Slowness of all nodes sends a build back while on trial and for some time after the release, not later.
+func TestAllSlower(t *testing.T) {
+	for _, c := range []struct {
+		phase Phase
+		age   Millis
+		want  Verdict
+	}{{OnTrial, 60000, VoteBack}, {Released, 5000, VoteBack}, {Released, 60000, VoteNone}} {
+		r := start(t, StageNews{Build: 8, Phase: c.phase, Stage: 2, Cap: 1, Age: c.age}, nil)
+		r.m.before.rejects = 4 * backAfter
+		if got, why := r.m.verdict(); got != c.want {
+			t.Errorf("%+v: %v, %s", c, got, why)
+		}
+	}
+}
+
 // Failures at one of several trial nodes are that node's trouble.
 func TestOneFailingNode(t *testing.T) {
 	for _, c := range []struct {
