--- a/logic/logic.go
+++ b/logic/logic.go
@@ -70,10 +70,11 @@
 	PathGroup
 	index             int
 	room              allowance
-	pace, floor       stats.Mean // of the earlier build, and of the lower quartiles of its groups
-	paceBefore        float64    // as it was when the build was offered
-	blue, kept, older []float64  // filling group of the earlier build, its last full one and the one before
-	grn, prev         []float64  // filling and last full group of the build on trial
+	pace, floor       stats.Mean  // of the earlier build, and of the lower quartiles of its groups
+	paceBefore        float64     // as it was when the build was offered
+	blue, kept, older []float64   // filling group of the earlier build, its last full one and the one before
+	grn, prev         []float64   // filling and last full group of the build on trial
+	gone              stats.Count // outcomes of earlier nodes that have left, since the build was offered
 	agrees            bool
 	rejects           int
 	gap               float64 // of medians, at the last look
@@ -179,6 +180,11 @@
 	drop := func(n *node) {
 		n.State = Removed // hits that were forwarded there still know it
 		delete(m.nodes, n.ID)
+		for _, g := range append(m.order, m.pool) {
+			if n.Build < m.news.Build {
+				g.gone.Add(n.tally[g.index], 1)
+			}
+		}
 	}
 	named := map[NodeID]bool{}
 	for _, in := range e.Nodes {
@@ -639,8 +645,8 @@
 	}
 }
 
-// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows them all;
-// by a wider gap, and by the lower quartile, answers that hardly waited. It goes on for a while when released.
+// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows them
+// all; by a wider gap, and by the lower quartile, answers that hardly waited; for a while also if released.
 func (m *Marshal) judgeAll(b *group) {
 	if m.now-m.troubleAt >= m.set.WarmAfter && b.slower(b.grn, slowGap) &&
 		stats.Quartile(b.grn) >= slowGap*slowGap*b.floor.Or(1) {
@@ -670,8 +676,8 @@
 // good and bad; and how much was seen. The worst quarter of several nodes is left out: trouble of its own.
 func (m *Marshal) failing() (worst, seen float64) {
 	for _, g := range append(m.order, m.pool) {
-		var blue, grn stats.Count
-		var each []stats.Count // of grn's nodes, the worst first
+		blue, grn := g.gone, stats.Count{} // Danger: without those that left, nothing is worse once blue is gone
+		var each []stats.Count             // of grn's nodes, the worst first
 		for _, n := range m.list {
 			if t := n.tally[g.index]; n.Build < m.news.Build {
 				blue.Add(t, 1)
@@ -716,7 +722,7 @@
 	for _, g := range append(m.order, m.pool) {
 		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
 		if e.Build != old.Build {
-			g.paceBefore = g.pace.Value
+			g.paceBefore, g.gone = g.pace.Value, stats.Count{}
 		}
 	}
 	if e.Build != old.Build {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -425,8 +425,13 @@
 			tally := &r.m.nodes[list[i].ID].tally[0]
 			tally.Good, tally.Bad = 30-bad, bad
 		}
-		if k, _ := r.m.failing(); (k >= 2*rejectAt) != c.back {
-			t.Errorf("%v: statistic %v", c.bad, k)
+		for _, left := range []bool{false, true} { // it still counts when the last earlier node has left
+			if left {
+				r.do(NodesChanged{How: Whole, Nodes: list})
+			}
+			if k, _ := r.m.failing(); (k >= 2*rejectAt) != c.back {
+				t.Errorf("%v, left %v: statistic %v", c.bad, left, k)
+			}
 		}
 	}
 }
