--- a/logic/logic.go
+++ b/logic/logic.go
@@ -232,9 +232,7 @@
 }
 
 func (m *Marshal) strike(n *node) {
-	if n.strikes++; n.strikes > 1 {
-		m.troubleAt = m.now
-	}
+	n.strikes, m.troubleAt = n.strikes+1, m.now
 	rest := m.pool.Target * freshness * math.Exp2(float64(n.strikes)) * (0.5 + m.chance.Next())
 	n.shut = m.now + min(m.set.WarmAfter, rest)
 }
@@ -753,7 +751,7 @@
 	switch trial := m.news.Phase == OnTrial; {
 	case failing >= 2*rejectAt:
 		return VoteBack, fmt.Sprintf("it fails more often, K %.1f", failing)
-	case trial && back != nil:
+	case trial && back != nil && m.now-m.troubleAt >= m.set.WarmAfter: // lost nodes crowd the rest
 		return VoteBack, fmt.Sprintf("path group %q clearly slower twice, by %.2f at last", back.Name, back.gap)
 	case m.before.rejects >= 4*backAfter && (trial || m.now-m.stageAt < 3*m.set.WarmAfter):
 		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", m.before.gap)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -407,6 +407,22 @@
 	}
 }
 
+// Lost nodes crowd the rest, so slowness sends no build back until a warm-up time after the last was found.
+func TestSlowInTrouble(t *testing.T) {
+	for _, c := range []struct {
+		ago  Millis
+		want Verdict
+	}{{0, VoteNone}, {3900, VoteNone}, {4000, VoteBack}} {
+		r := start(t, trial(1, 0.5), nil)
+		r.m.order[0].rejects = backAfter
+		r.m.strike(r.m.nodes["b1"])
+		r.m.now += c.ago
+		if got, why := r.m.verdict(); got != c.want {
+			t.Errorf("%v ms ago: %v, %s", c.ago, got, why)
+		}
+	}
+}
+
 // Failures at one of several trial nodes are that node's trouble.
 func TestOneFailingNode(t *testing.T) {
 	for _, c := range []struct {
