--- a/logic/api.go
+++ b/logic/api.go
@@ -46,19 +46,15 @@
 
 // PathGroup holds the figures of one path group.
 type PathGroup struct {
-	Name      GroupName
-	Target    Millis // target latency
-	Timeout   Millis // client timeout, for all tries
-	LateShare float64
-	Effect    Effect
-	Scope     Scope
-	Remember  Millis // how long a tag is known, from the first forward that may have run
-	Benefit   float64
+	Name     GroupName
+	Target   Millis // target latency
+	Effect   Effect
+	Scope    Scope
+	Remember Millis // how long a tag is known, from the first forward that may have run
 }
 
 // Settings are the figures handed to a marshal at its start.
 type Settings struct {
-	Self        MarshalNo
 	Marshals    int
 	Zone        Zone
 	Granularity Millis
@@ -68,12 +64,12 @@
 
 	CrossPrice float64
 
-	MayCancel, MayBounceLater, MayProbe, MayTell, MayCopy bool
-	MaxComeBack                                           Millis // longest time to come back
-	MaxForwards                                           int
+	MayCancel, MayBounceLater, MayCopy bool
+	MaxComeBack                        Millis // longest time to come back
+	MaxForwards                        int
 
-	ColdFrom, OverFactor          float64
-	WarmAfter, OverFor, DrainTime Millis
+	ColdFrom, OverFactor float64
+	WarmAfter, OverFor   Millis
 
 	Control      Control
 	InPlace      bool // earlier nodes drain as their successors run
@@ -82,11 +78,9 @@
 	PerGroup     bool    // exposure is counted for each path group by itself
 	Guarded      int     // stages open to repeatable hits only
 	KeysStay     bool    // no way back for a key that the new build answered
-	TallyEvery   Millis
 	FlagShare    float64
 	VoteLife     Millis
 	VoteWait     Millis
-	Soak         Millis
 }
 
 // Event is what happened; each concrete type below is one kind.
