--- a/logic/logic.go
+++ b/logic/logic.go
@@ -389,13 +389,14 @@
 }
 
 // paceLimit lets the in-flight limit follow the shortest over the present answer time. All marshals together
-// hold at a node half a target latency of work. Danger: grown unused, a limit lets a rush fill the nodes.
+// hold at a node half a target latency of work, or a busy one what it was seen to do at once and a quarter.
+// Danger: grown unused, a limit lets a rush fill the nodes.
 func (m *Marshal) paceLimit(n *node, after Millis) {
 	n.ans += freshness * (after - n.ans)
 	most := m.pool.Target / m.least / float64(m.set.Marshals) / slack
 	n.limit -= freshness * n.limit * (1 - min(1, slack*m.least/n.ans))
 	if float64(n.out+1) >= n.limit {
-		n.limit = min(n.limit+freshness*min(1, most)/slack, max(1, most))
+		n.limit = min(n.limit+freshness*min(1, most)/slack, max(1, most, slowGap*m.coldRate*n.Units*m.least))
 	}
 }
 
