--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -81,6 +81,8 @@
 		Guarded: int(p.need("domain.guarded-stages", 0, 1e6)), KeysStay: p.v["domain.keys-stay"] != "false",
 		FlagShare: p.may("domain.reported-share"),
 		VoteLife:  p.may("domain.vote-ttl-ms"), VoteWait: p.may("domain.vote-wait-ms"),
+		OnVotes: int(p.may("domain.on-votes")), BackVotes: int(p.may("domain.votes-to-revert")),
+		TallyEvery: p.may("domain.tally-every-ms"),
 	}
 	if p.v["domain.vote-mode"] == "clocked" {
 		s.Control = logic.ByClock
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"math"
 	"slices"
 )
 
@@ -58,14 +59,44 @@
 	return (a.N() + b.N() - 1) * d * d / (a.N() * b.N() * (a.Good + b.Good) * (a.Bad + b.Bad))
 }
 
+// ExceededBy is the value that either statistic exceeds by this chance when there is no difference.
+func ExceededBy(chance float64) float64 {
+	z := math.Erfcinv(chance)
+	return 2 * z * z
+}
+
+// Exponential is the i-th of numbers with mean 1 that are spread as exponential ones are, any run of them.
+func Exponential(i int) float64 {
+	_, part := math.Modf((float64(i) + 0.5) * math.Phi)
+	return -math.Log(1 - part)
+}
+
+// AtMost is the same count scaled down to a sum of at most n.
+func (c Count) AtMost(n float64) Count {
+	k := min(1, n/max(c.N(), 1))
+	return Count{c.Good * k, c.Bad * k}
+}
+
 // Median of a group that is not empty.
 func Median(v []float64) float64 {
 	s := slices.Sorted(slices.Values(v))
 	return (s[(len(s)-1)/2] + s[len(s)/2]) / 2
 }
 
-// Quartile is the lower one of a group that is not empty.
-func Quartile(v []float64) float64 { return slices.Sorted(slices.Values(v))[len(v)/4] }
+// Groups cuts a stream of values into disjoint groups. It keeps the group being filled and the last two full ones.
+type Groups struct{ Fill, Last, Before []float64 }
+
+// Add puts a value in and tells whether that has filled a group of this size.
+func (g *Groups) Add(v float64, size int) bool {
+	if g.Fill = append(g.Fill, v); len(g.Fill) < size {
+		return false
+	}
+	g.Close()
+	return true
+}
+
+// Close ends the group being filled as it is.
+func (g *Groups) Close() { g.Fill, g.Last, g.Before = nil, g.Fill, g.Last }
 
 // Mean is a running mean, exact over the first values and smoothed over as many as memory after them.
 type Mean struct{ Value, n float64 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -81,6 +81,9 @@
 	FlagShare    float64
 	VoteLife     Millis
 	VoteWait     Millis
+	OnVotes      int    // marshals whose votes move a stage on
+	BackVotes    int    // marshals whose votes send a build back
+	TallyEvery   Millis // time between the desk's counts; 0: none
 }
 
 // Event is what happened; each concrete type below is one kind.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,7 +2,8 @@
 //
 // Callers make one Marshal for each instance with New and give it what happened, in order, through Handle,
 // its only entry point, which returns what is to be done then. It shares nothing, reads no clock, starts
-// nothing. api.go has the types. Grn is a build on trial, blue an earlier one. Reasons: docs/design.md.
+// nothing. api.go has the types that pass in and out, state.go what is kept between events. Grn is a build on
+// trial, blue an earlier one. Reasons: docs/design.md.
 package logic
 
 import (
@@ -20,7 +21,8 @@
 	groupSize  = 20     // answers in a group
 	rejectAt   = 3.84   // the test statistic from which two groups differ
 	slowGap    = 1.25   // medians this far apart are clearly slower
-	backAfter  = 2      // rejections in a row that send a build back
+	backAfter  = 2      // rejections in a row that send a build back, where a handful of marshals judge
+	rejectedBy = 0.05   // chance of a rejection without a difference
 	blindAfter = 4000.0 // ms into a stage without full groups
 )
 
@@ -35,95 +37,30 @@
 	tiny      = 1e-9
 )
 
-// Marshal is one instance.
-type Marshal struct {
-	set                  Settings
-	chance               stats.Chance
-	now, period          Millis
-	ticked, told, voteOK bool
-	acts                 []Action
-	groups               map[GroupName]*group
-	order                []*group // path groups as in the settings
-	pool                 *group   // all of them, each by its pace, so that thin marshals fill groups too
-	before               group    // the pool from before the trial, for builds that slow all nodes
-	nodes                map[NodeID]*node
-	list                 []*node              // nodes by id; the list of nodes empties it
-	hits                 map[HitID]*hit       // open hits; their endings empty it
-	lines                [2][]*hit            // hits that wait for a first or a further forward
-	kinds                map[Kind]*stats.Mean // by the list's kinds of machine
-	news                 StageNews            // as last told
-	stageAt, askAt       Millis               // start of the stage; next call for the list after a refusal
-	room                 allowance            // exposure over all path groups
-	pins                 map[uint16]bool      // hashes of keys that pinBuild answered
-	pinBuild             Build
-	share                float64 // of hits that go to grn
-	typical, least       Millis  // answer time over all nodes, and the least it was, creeping up
-	rate, delivered      float64 // answers a ms of a warm unit; the newest
-	troubleAt            Millis  // a node was last found out of reach
-	vote                 Vote
-	voteAt, voteDue      Millis // when it was cast; no other before
-}
-
-// group is a path group with what its outcomes say of the builds.
-type group struct {
-	PathGroup
-	index             int
-	room              allowance
-	pace, floor       stats.Mean  // of the earlier build, and of the lower quartiles of its groups
-	paceBefore        float64     // as it was when the build was offered
-	blue, kept, older []float64   // filling group of the earlier build, its last full one and the one before
-	grn, prev         []float64   // filling and last full group of the build on trial
-	gone              stats.Count // outcomes of earlier nodes that have left, since the build was offered
-	agrees            bool
-	rejects           int
-	gap               float64 // of medians, at the last look
-}
-
-type node struct {
-	Node
-	tally         []stats.Count // outcomes by path group, since the build was offered
-	out           int
-	coldAt        Millis  // its start, as far as known
-	since         Millis  // last answer, or the first forward out after it
-	ans           Millis  // smoothed answer time
-	fail          float64 // smoothed share of failures
-	limit, budget float64 // forwards out at most; forwards that a cold node may still get
-	strikes       int     // times in a row that it was found unreachable or silent
-	shut          Millis  // nothing before: after a strike, or a short rest after it was full
-}
-
-type hit struct {
-	id HitID
-	*group
-	key         uint32  // hash; 0 without a key
-	place       float64 // from 0 to 1, the lowest go to grn first
-	taken, ends Millis
-	forwards    []forward
-	out         int
-	done        bool // final answer given, or hit gone
-}
-
-type forward struct {
-	*node
-	at              Millis
-	out, ran, moved bool // still out; may have run; called off or copied
-}
-
 // New makes an instance that knows nothing but its settings.
 func New(set Settings, seed uint64) *Marshal {
 	m := &Marshal{set: set, chance: stats.Chance{Seed: seed}, period: math.Inf(1), troubleAt: math.Inf(-1),
 		groups: map[GroupName]*group{}, nodes: map[NodeID]*node{}, hits: map[HitID]*hit{},
 		kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}}
 	m.room.level = set.Free
-	m.pool = &group{room: m.room, index: len(set.Groups)}
+	m.pool, m.desk = &group{room: m.room, index: len(set.Groups)}, &group{}
 	for i, g := range set.Groups {
 		m.groups[g.Name] = &group{PathGroup: g, index: i, room: m.room}
 		m.order = append(m.order, m.groups[g.Name])
 		m.period = min(m.period, g.Target*tickShare)
 		m.pool.Target = max(m.pool.Target, g.Target)
 	}
+	m.all = append(slices.Clone(m.order), m.pool, m.desk)
+	// Danger: where one of hundreds of votes decides, somebody's chance evidence sends a good build back, and
+	// the luckiest marshal votes a bad one on; where many must meet, nobody sees as much as a handful would.
+	need, marshals := float64(max(1, set.BackVotes)), float64(max(1, set.Marshals))
+	alarm := min(rejectedBy, need/marshals*math.Exp(-4/math.Sqrt(need)))
+	m.certain = stats.ExceededBy(alarm)
+	m.often = max(1, int(math.Round(math.Log(alarm)/math.Log(rejectedBy))))
+	m.proof = groupSize / 4 * math.Log(marshals/float64(max(1, set.OnVotes)))
 	m.period = max(min(m.period, m.pool.Target), set.Granularity, 1)
 	m.set.WarmAfter, m.set.OverFor = max(set.WarmAfter, m.period), max(set.OverFor, m.period) // divisors
+	m.turn = m.chance.Next()
 	m.typical, m.least = m.pool.Target*patience, m.pool.Target*patience
 	return m
 }
@@ -159,6 +96,8 @@
 		m.lookAround()
 	case StageNews:
 		m.stageNews(e)
+	case Tally:
+		m.tallied(e)
 	case Flagged: // a wrong answer is a failure; only a share of them is told
 		if n, g := m.nodes[e.Node], m.groups[e.Group]; n != nil && g != nil {
 			wrong := stats.Count{Bad: 1 / max(m.set.FlagShare, freshness)}
@@ -195,8 +134,8 @@
 		}
 		if in.State != Removed && n == nil {
 			n = &node{coldAt: in.Started, ans: m.typical, limit: 1, budget: m.chance.Next(),
-				tally: make([]stats.Count, len(m.order)+1)}
-			m.nodes[in.ID] = n
+				pace: cmp.Or(m.kinds[in.Kind], &stats.Mean{}), tally: make([]stats.Count, len(m.order)+1)}
+			m.nodes[in.ID], m.kinds[in.Kind] = n, n.pace
 		}
 		if n != nil {
 			n.Node = in
@@ -239,7 +178,9 @@
 // ---- Hits and their one final answer ----
 
 func (m *Marshal) take(e HitTaken) {
-	h := &hit{id: e.Hit, taken: m.now, ends: m.now + e.TTL, place: m.chance.Next()}
+	// Danger: drawn anew for each hit, half of those meant for grn meet an allowance that is not filled yet.
+	_, m.turn = math.Modf(m.turn + math.Phi)
+	h := &hit{id: e.Hit, taken: m.now, ends: m.now + e.TTL, place: m.turn}
 	h.group = cmp.Or(m.groups[e.Group], m.pool) // not in the settings: the most careful effect
 	h.key = crc32.ChecksumIEEE([]byte(e.Key)) | uint32(min(1, len(e.Key)))
 	if m.set.KeysStay && h.key != 0 {
@@ -363,6 +304,11 @@
 	if e.Ending <= NodeFull {
 		m.answered(n)
 	}
+	if e.Ending == NodeError {
+		m.erred.Add(1, memory)
+	} else if e.Ending != Delivered && e.Ending != Recalled {
+		m.erred.Add(0, memory)
+	}
 	switch e.Ending {
 	case Delivered:
 		m.typical += freshness * freshness * (e.After - m.typical)
@@ -480,7 +426,7 @@
 }
 
 func (m *Marshal) lookAround() {
-	var units, use [2]float64 // warm units, and what all can do, of blue and grn
+	var units, use, pace [2]float64 // of blue and grn: warm units, what all can do, and by the pace of kinds
 	for _, n := range m.list {
 		n.fail *= 1 - m.period/m.set.WarmAfter
 		if m.hush(n) >= leaveHush && m.now >= n.shut {
@@ -491,15 +437,23 @@
 				units[m.side(n)] += n.Units
 			}
 			// Danger: cold nodes lose in the choice; by their whole share grn's warm ones crowd and look slow.
-			use[m.side(n)] += n.Units * math.Pow(w, float64(1+3*m.side(n)))
+			can := n.Units * math.Pow(w, float64(1+3*m.side(n)))
+			use[m.side(n)] += can
+			pace[m.side(n)] += can * n.pace.Or(1)
 		}
 	}
+	for k := range use {
+		m.mix[k] = pace[k] / max(use[k], tiny)
+	}
+	if units[1] < slowGap/2*use[1] {
+		m.warmAt = m.now
+	}
 	if all := units[0] + units[1]; all > 0 { // with only cold nodes left, as last seen
 		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/all/m.period - m.rate)
 	}
 	m.delivered = 0
-	// Danger: one forward each from hundreds of marshals pushes a cold node over. So each one's part is a fraction,
-	// from a drawn start, and lapses unless it is soon used; only the sum over all of them comes to whole forwards.
+	// Danger: one forward each from hundreds of marshals pushes a cold node over. So each one's part is a
+	// fraction, from a drawn start, and lapses unless soon used; only all of them together make whole forwards.
 	for _, n := range m.list {
 		rate := m.rate * n.Units * m.warmth(n) * math.Sqrt(m.set.OverFactor)
 		if n.budget += rate * m.period; n.budget >= 1+rate*m.set.OverFor*patience {
@@ -540,11 +494,7 @@
 	}
 }
 
-// allowance is what may still go to builds on trial. The cap of each hit taken fills it, and it holds the
-// free number at most from one instant to the next; so forwards number at most free + cap x taken in every
-// window, wherever it ends. Danger: a window of buckets holds only for windows that end at a forward.
-type allowance struct{ level, seen float64 }
-
+// left is the allowance that a hit's forwards to builds on trial are taken from.
 func (m *Marshal) left(h *hit) *float64 {
 	a := &m.room
 	if m.set.PerGroup {
@@ -593,8 +543,6 @@
 	}
 	n.tally[g.index].Add(tally, 1)
 	n.tally[m.pool.index].Add(tally, 1)
-	kind := cmp.Or(m.kinds[n.Kind], &stats.Mean{})
-	m.kinds[n.Kind] = kind
 	// Danger: a cold node is slow whatever it runs, and one trial node of a slow kind is no slow build. So only
 	// warm nodes count, each against the earlier build's pace in its path group and on its kind of machine.
 	if m.warmth(n) < 1 || n.Build > m.news.Build {
@@ -602,58 +550,94 @@
 	}
 	grn := n.Build == m.news.Build && m.news.Phase != Released
 	if !grn && e.Ending == Delivered {
-		kind.Add(v/g.pace.Add(v, memory), memory)
+		n.pace.Add(v/g.pace.Add(v, memory), memory)
 	}
 	for _, to := range []*group{g, m.pool} {
-		x := v / g.pace.Or(1) / kind.Or(1)
-		if grn {
-			if to.grn = append(to.grn, x); len(to.grn) == groupSize {
-				to.judge()
-			}
-		} else if to.blue = append(to.blue, x); len(to.blue) == groupSize {
-			to.older, to.kept, to.blue = to.kept, to.blue, nil
-			to.floor.Add(stats.Quartile(to.kept), memory)
-		}
+		to.enter(grn, v/g.pace.Or(1)/n.pace.Or(1))
 	}
-	if b := &m.before; g.paceBefore > 0 {
-		if b.grn = append(b.grn, v/g.paceBefore/kind.Or(1)); len(b.grn) == groupSize {
-			m.judgeAll(b)
+	m.enterBefore(m.pool.before, v/n.pace.Or(1), g.paceBefore)
+}
+
+// tallied takes the desk's counts, the same for all marshals: thin ones see the whole fleet by them.
+// The answers of one count are laid out as one group at most, with the spread that answer times mostly have.
+func (m *Marshal) tallied(e Tally) {
+	g := m.groups[e.Group]
+	if g == nil || !m.told || e.Build > m.news.Build || e.Count <= 0 {
+		return
+	}
+	// Danger: what nodes refuse or leave unanswered is no build's doing; the desk doesn't tell it from errors.
+	counted := stats.Count{Good: float64(e.Count - e.Failed), Bad: float64(e.Failed) * m.erred.Or(1)}
+	newest := e.Build == m.news.Build
+	// Danger: trouble of nodes fails both builds, at times when one has more traffic than at others. So grn's
+	// counts meet as many of blue from the same period.
+	if !newest {
+		g.blueNow = counted
+	} else if g.blueNow.N() > 0 {
+		g.counted[0].Add(g.blueNow, counted.N()/g.blueNow.N())
+		g.counted[1].Add(counted, 1)
+		g.blueNow = stats.Count{}
+	}
+	side, grn := 0, newest && m.news.Phase != Released
+	if newest {
+		side = 1
+	}
+	m.desk.cold = newest && m.now-e.Age-m.set.TallyEvery < m.warmAt
+	if !grn && e.Failed < e.Count {
+		g.deskPace.Add(e.Mean, memory)
+	}
+	size := min(groupSize, e.Count)
+	for i := range size {
+		v := math.Inf(1)
+		if i >= (e.Failed*size+e.Count/2)/e.Count {
+			v = stats.Exponential(i) * e.Mean / max(m.mix[side], tiny)
 		}
+		m.desk.enter(grn, v/g.deskPace.Or(1))
+		if !m.desk.cold {
+			m.enterBefore(m.desk.before, v, g.deskBefore)
+		}
+	}
+}
+
+// enter adds an outcome to the groups of its build.
+func (g *group) enter(grn bool, x float64) {
+	if !grn {
+		g.blue.Add(x, groupSize)
+	} else if g.grn.Add(x, groupSize) {
+		g.judge()
 	}
 }
 
-// judge compares a full group of the build on trial.
+// enterBefore adds an outcome of either build to those that are judged against the time before the trial, for
+// a build that slows all nodes; by a wider gap.
+func (m *Marshal) enterBefore(b *group, v, pace float64) {
+	if b == nil || pace == 0 || !b.grn.Add(v/pace, groupSize) {
+		return
+	}
+	if b.rejects++; m.now-m.troubleAt < m.set.WarmAfter || !b.slower(b.grn.Last, slowGap) {
+		b.rejects = 0
+	}
+}
+
+// judge compares the last group of the build on trial.
 func (g *group) judge() {
-	grn, prev := g.grn, g.prev
-	g.grn, g.prev = nil, grn
+	grn, prev, kept := g.grn.Last, g.grn.Before, g.blue.Last
 	switch {
-	case g.kept == nil:
+	case kept == nil:
 	case g.slower(grn, 1):
 		// Danger: under a build too slow for its load no two groups agree, so rejections don't wait for that.
-		g.agrees = false
-		g.rejects++
+		if g.agrees = false; !g.cold {
+			g.rejects++
+		}
 	case prev != nil && stats.KruskalWallis(prev, grn) < rejectAt:
 		g.rejects = 0
-		g.agrees = stats.KruskalWallis(g.kept, grn) < rejectAt || stats.Median(grn) <= stats.Median(g.kept)
+		g.agrees = stats.KruskalWallis(kept, grn) < rejectAt || stats.Median(grn) <= stats.Median(kept)
 	}
 }
 
-// judgeAll judges the nodes of both builds against the time before the trial, for a build that slows them
-// all; by a wider gap, and by the lower quartile, answers that hardly waited; for a while also if released.
-func (m *Marshal) judgeAll(b *group) {
-	if m.now-m.troubleAt >= m.set.WarmAfter && b.slower(b.grn, slowGap) &&
-		stats.Quartile(b.grn) >= slowGap*slowGap*b.floor.Or(1) {
-		b.rejects++
-	} else {
-		b.rejects = 0
-	}
-	b.grn = nil
-}
-
 // slower tells whether outcomes are clearly slower than the last two groups of the earlier build. Danger:
 // against one, a group that was fast by chance sends a good build back.
 func (g *group) slower(got []float64, wider float64) bool {
-	for _, blue := range [][]float64{g.older, g.kept} {
+	for _, blue := range [][]float64{g.blue.Before, g.blue.Last} {
 		if len(blue) == 0 || len(got) == 0 {
 			return false
 		}
@@ -666,16 +650,20 @@
 }
 
 // failing is the strongest sign, in one path group or in all, that grn fails more often, by the same test on
-// good and bad; and how much was seen. The worst quarter of several nodes is left out: trouble of its own.
+// good and bad, as a multiple of what proves it; and how much was seen. The worst quarter of several nodes is
+// left out: trouble of its own. The desk can't leave it out: its counts weigh at most one outcome a node.
 func (m *Marshal) failing() (worst, seen float64) {
 	for _, g := range append(m.order, m.pool) {
 		blue, grn := g.gone, stats.Count{} // Danger: without those that left, nothing is worse once blue is gone
 		var each []stats.Count             // of grn's nodes, the worst first
+		nodes := 0.0
 		for _, n := range m.list {
 			if t := n.tally[g.index]; n.Build < m.news.Build {
 				blue.Add(t, 1)
-			} else if n.Build == m.news.Build && t.N() > 0 {
-				each = append(each, t)
+			} else if n.Build == m.news.Build {
+				if nodes++; t.N() > 0 {
+					each = append(each, t)
+				}
 			}
 		}
 		slices.SortFunc(each, func(a, b stats.Count) int { return cmp.Compare(b.Bad*a.N(), a.Bad*b.N()) })
@@ -686,7 +674,10 @@
 			}
 		}
 		if grn.Bad >= 2 && grn.Bad*blue.N() > blue.Bad*grn.N() {
-			worst = max(worst, stats.KruskalWallisCounts(blue, grn))
+			worst = max(worst, stats.KruskalWallisCounts(blue, grn)/m.certain)
+		}
+		if c := g.counted; c[1].Bad >= 2 && c[1].Bad > c[0].Bad {
+			worst = max(worst, stats.KruskalWallisCounts(c[0].AtMost(nodes), c[1].AtMost(nodes))/(2*rejectAt))
 		}
 	}
 	return worst, seen
@@ -712,14 +703,16 @@
 		m.pinBuild = 0 // keys are free again
 		clear(m.pins)
 	}
-	for _, g := range append(m.order, m.pool) {
-		g.blue, g.grn, g.prev, g.agrees, g.rejects = nil, nil, nil, false, 0
+	for _, g := range m.all {
+		g.blue.Fill, g.grn, g.agrees, g.rejects = nil, stats.Groups{}, false, 0
 		if e.Build != old.Build {
-			g.paceBefore, g.gone = g.pace.Value, stats.Count{}
+			g.paceBefore, g.deskBefore = g.pace.Value, g.deskPace.Value
+			g.gone, g.counted, g.before = stats.Count{}, [2]stats.Count{}, nil
+			before := *g
+			g.before = &before // its groups are not written to again
 		}
 	}
 	if e.Build != old.Build {
-		m.before = *m.pool // its groups are not written to again
 		for _, n := range m.list {
 			clear(n.tally)
 		}
@@ -729,35 +722,42 @@
 // verdict is what this marshal stands for, with the reason.
 func (m *Marshal) verdict() (Verdict, string) {
 	failing, seen := m.failing()
-	agree, reject, full := true, m.before.rejects > 0, 0
-	var back *group
-	for _, g := range append(m.order, m.pool) {
-		if g.kept != nil && g.prev != nil && (g != m.pool || full == 0) {
+	agree, reject, full := true, false, 0
+	var back, slow *group
+	for _, g := range m.all {
+		often := m.often
+		if g == m.desk {
+			often = backAfter // all marshals see the same counts
+		}
+		if g.blue.Last != nil && len(g.grn.Last) == groupSize && (g != m.pool || full == 0) {
 			full++
 			agree = agree && g.agrees
 		}
-		reject = reject || g.rejects > 0
-		if g.rejects >= backAfter {
+		reject = reject || g.rejects > 0 || g.before != nil && g.before.rejects > 0
+		if g.rejects >= often {
 			back = g
 		}
+		if g.before != nil && g.before.rejects >= 4*often {
+			slow = g.before
+		}
 	}
 	next := append(slices.Clone(m.set.Stages), 1)[min(max(m.news.Stage+1, 0), len(m.set.Stages))]
 	switch trial := m.news.Phase == OnTrial; {
-	case failing >= 2*rejectAt:
-		return VoteBack, fmt.Sprintf("it fails more often, K %.1f", failing)
+	case failing >= 1:
+		return VoteBack, fmt.Sprintf("it fails more often, %.1f times what proves it", failing)
 	case trial && back != nil && m.now-m.troubleAt >= m.set.WarmAfter: // lost nodes crowd the rest
-		return VoteBack, fmt.Sprintf("path group %q clearly slower twice, by %.2f at last", back.Name, back.gap)
-	case m.before.rejects >= 4*backAfter && (trial || m.now-m.stageAt < 3*m.set.WarmAfter):
-		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", m.before.gap)
+		return VoteBack, fmt.Sprintf("path group %q clearly slower again, by %.2f at last", back.Name, back.gap)
+	case slow != nil && (trial || m.now-m.stageAt < 3*m.set.WarmAfter):
+		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", slow.gap)
 	case trial && m.set.Control == ByClock && reject:
 		return VoteHold, "clearly slower once"
-	case !trial || m.set.Control == ByClock || failing >= rejectAt || reject:
+	case !trial || m.set.Control == ByClock || 2*failing >= 1 || reject:
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
 	// Danger: cold nodes hide a slow build, so the vote that opens the whole fleet takes outcomes of warm ones.
-	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= groupSize*next/4 &&
-		(next < 1 || len(m.pool.grn)+len(m.pool.prev) >= groupSize/2) &&
-		!m.pool.slower(m.pool.grn, 1):
+	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= m.proof*next &&
+		(next < 1 || float64(len(m.pool.grn.Fill)+len(m.pool.grn.Last)) >= 2*m.proof) &&
+		!m.pool.slower(m.pool.grn.Fill, 1) && !m.desk.slower(m.desk.grn.Fill, 1):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, "not settled"
@@ -768,6 +768,13 @@
 	if !m.told || m.now < m.voteDue || m.news.Phase == GoingBack || m.news.Phase == Withdrawn {
 		return
 	}
+	m.voteDue = m.now + m.pool.Target*patience
+	if m.now >= m.closeAt && m.now-m.stageAt >= blindAfter { // too thin to fill a group in time
+		if m.closeAt = m.now + blindAfter; len(m.pool.grn.Fill) >= backAfter {
+			m.pool.grn.Close()
+			m.pool.judge()
+		}
+	}
 	v, why := m.verdict()
 	if m.vote.Verdict == VoteBack {
 		v = VoteBack // testing ends with it until the next stage
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,91 @@
+package logic
+
+import "ottershed/internal/stats"
+
+// Marshal is one instance.
+type Marshal struct {
+	set                  Settings
+	chance               stats.Chance
+	now, period          Millis
+	ticked, told, voteOK bool
+	acts                 []Action
+	groups               map[GroupName]*group
+	order, all           []*group // path groups as in the settings; with the two below
+	pool                 *group   // all of them, each by its pace, so that thin marshals fill groups too
+	desk                 *group   // the same from the desk's counts
+	certain, proof       float64  // the test statistic that is proof alone; outcomes that a blind vote takes
+	often                int      // rejections in a row that send a build back here
+	nodes                map[NodeID]*node
+	list                 []*node              // nodes by id; the list of nodes empties it
+	hits                 map[HitID]*hit       // open hits; their endings empty it
+	lines                [2][]*hit            // hits that wait for a first or a further forward
+	kinds                map[Kind]*stats.Mean // by the list's kinds of machine
+	news                 StageNews            // as last told
+	stageAt, askAt       Millis               // start of the stage; next call for the list after a refusal
+	room                 allowance            // exposure over all path groups
+	pins                 map[uint16]bool      // hashes of keys that pinBuild answered
+	pinBuild             Build
+	share, turn          float64    // of hits that go to grn; the newest one's place among them
+	typical, least       Millis     // answer time over all nodes, and the least it was, creeping up
+	rate, delivered      float64    // answers a ms of a warm unit; the newest
+	erred                stats.Mean // of own failures: the share that are errors
+	mix                  [2]float64 // mean pace of the kinds of machine of blue and grn
+	warmAt               Millis     // since then most of what grn can do is warm
+	troubleAt            Millis     // a node was last found out of reach
+	closeAt              Millis     // the pool's group of the build on trial is judged as it is
+	vote                 Vote
+	voteAt, voteDue      Millis // when it was cast; no other before
+}
+
+// group is a path group with what its outcomes say of the builds.
+type group struct {
+	PathGroup
+	index                  int
+	room                   allowance
+	pace, deskPace         stats.Mean     // of the earlier build, by own outcomes and by the desk's counts
+	paceBefore, deskBefore float64        // as they were when the build was offered
+	before                 *group         // this one from before the trial, for builds that slow all nodes
+	blue, grn              stats.Groups   // of the earlier build and of the one on trial
+	gone                   stats.Count    // outcomes of earlier nodes that have left, since the build's offer
+	counted                [2]stats.Count // by the desk, since then: of grn, and as many of blue beside them
+	blueNow                stats.Count    // of blue in the desk's newest period
+	agrees, cold           bool           // cold: what is judged came from cold nodes too, and rejects nothing
+	rejects                int
+	gap                    float64 // of medians, at the last look
+}
+
+type node struct {
+	Node
+	pace          *stats.Mean   // of its kind of machine
+	tally         []stats.Count // outcomes by path group, since the build was offered
+	out           int
+	coldAt        Millis  // its start, as far as known
+	since         Millis  // last answer, or the first forward out after it
+	ans           Millis  // smoothed answer time
+	fail          float64 // smoothed share of failures
+	limit, budget float64 // forwards out at most; forwards that a cold node may still get
+	strikes       int     // times in a row that it was found unreachable or silent
+	shut          Millis  // nothing before: after a strike, or a short rest after it was full
+}
+
+type hit struct {
+	id HitID
+	*group
+	key         uint32  // hash; 0 without a key
+	place       float64 // from 0 to 1, the lowest go to grn first
+	taken, ends Millis
+	forwards    []forward
+	out         int
+	done        bool // final answer given, or hit gone
+}
+
+type forward struct {
+	*node
+	at              Millis
+	out, ran, moved bool // still out; may have run; called off or copied
+}
+
+// allowance is what may still go to builds on trial. The cap of each hit taken fills it, and it holds the
+// free number at most from one instant to the next; so forwards number at most free + cap x taken in every
+// window, wherever it ends. Danger: a window of buckets holds only for windows that end at a forward.
+type allowance struct{ level, seen float64 }
