--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -71,9 +71,9 @@
 		Zone:     logic.Zone(p.v["zone"]), Granularity: p.may("granularity-ms"),
 		AskList: p.v["discovery"] == "ask", AskWithin: p.may("rules.ask-within-ms"),
 		CrossPrice: p.may("charges.cross-zone"), ProbePrice: p.may("charges.probe"),
-		MayProbe:  p.yes("limits.probing"),
-		MayCancel: p.yes("limits.cancel"), MayBounceLater: p.yes("limits.retry-after"),
-		MayCopy: p.yes("limits.second-copies"), MaxComeBack: p.may("limits.max-retry-after-ms"),
+		MayProbe:    p.yes("limits.probing"),
+		MayCancel:   p.yes("limits.cancel"),
+		MayCopy:     p.yes("limits.second-copies"),
 		MaxForwards: int(p.need("limits.most-tries", 1, 1e6)),
 		ColdFrom:    p.need("rules.cold-from", 0, 1), WarmAfter: p.need("rules.warm-after-ms", 0, most),
 		OverFactor: p.need("rules.overload-factor", 0, most), OverFor: p.need("rules.overload-for-ms", 0, most),
@@ -85,6 +85,9 @@
 		OnVotes: int(p.may("domain.on-votes")), BackVotes: int(p.may("domain.votes-to-revert")),
 		TallyEvery: p.may("domain.tally-every-ms"),
 	}
+	if p.yes("limits.retry-after") {
+		s.MaxComeBack = p.may("limits.max-retry-after-ms")
+	}
 	if p.v["domain.vote-mode"] == "clocked" {
 		s.Control = logic.ByClock
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -64,9 +64,9 @@
 
 	CrossPrice, ProbePrice float64 // off the result, for each hit
 
-	MayCancel, MayBounceLater, MayCopy, MayProbe bool
-	MaxComeBack                                  Millis // longest time to come back
-	MaxForwards                                  int
+	MayCancel, MayCopy, MayProbe bool
+	MaxComeBack                  Millis // longest time to come back
+	MaxForwards                  int
 
 	ColdFrom, OverFactor float64
 	WarmAfter, OverFor   Millis
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -17,7 +17,7 @@
 
 // start makes a marshal in zone a with four nodes: a1 and b1 on build 7, a2 and b2 on build 8.
 func start(t *testing.T, news StageNews, change func(*Settings)) *rig {
-	s := Settings{Marshals: 2, Zone: "a", Granularity: 5, MaxForwards: 4, MayCancel: true, MayBounceLater: true,
+	s := Settings{Marshals: 2, Zone: "a", Granularity: 5, MaxForwards: 4, MayCancel: true,
 		MaxComeBack: 300, ColdFrom: 0.4, OverFactor: 2.5, WarmAfter: 4000, OverFor: 1000,
 		Caps: []float64{0.1, 0.5, 1}, Stages: []float64{0.1, 0.4, 1}, Free: 1, VoteLife: 6000, VoteWait: 1000,
 		Groups: []PathGroup{{Name: "read", Target: 400, Effect: Repeatable},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 	patience  = 0.25          // of the target latency: the wait for a first forward
 	tickShare = 0.05          // of the shortest target latency: the time between looks around
 	memory    = 2 * groupSize // outcomes in a pace
+	crowded   = 0.7           // share of answers that take long for their target, from which power is short
 	mostLooks = 3             // at nodes, for one forward
 
 	tiny = 1e-9
@@ -42,7 +43,7 @@
 func New(set Settings, seed uint64) *Marshal {
 	m := &Marshal{set: set, chance: stats.Chance{Seed: seed}, period: math.Inf(1), troubleAt: math.Inf(-1),
 		groups: map[GroupName]*group{}, nodes: map[NodeID]*node{}, hits: map[HitID]*hit{},
-		kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}}
+		kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}, tenants: map[TenantID]*float64{}}
 	m.room.level = set.Free
 	// Danger: where one of hundreds of votes decides, somebody's chance evidence sends a good build back, and
 	// the luckiest marshal votes a bad one on; where many must meet, nobody sees as much as a handful would.
@@ -50,10 +51,11 @@
 	alarm := min(rejectedBy, need/marshals*math.Exp(-4/math.Sqrt(need)))
 	m.certain, m.proof = stats.ExceededBy(alarm), groupSize/4*math.Log(marshals/float64(max(1, set.OnVotes)))
 	often := max(1, int(math.Round(math.Log(alarm)/math.Log(rejectedBy))))
-	m.pool = &group{room: m.room, index: len(set.Groups), often: often}
+	m.pool = &group{room: m.room, index: len(set.Groups), often: often, slow: new(float64)}
 	m.desk = &group{often: backAfter} // all marshals see the same counts
 	for i, g := range set.Groups {
-		m.groups[g.Name] = &group{PathGroup: g, index: i, room: m.room, often: often}
+		m.groups[g.Name] = &group{PathGroup: g, index: i, room: m.room, often: often, slow: new(float64)}
+		m.slowBy = append(m.slowBy, m.groups[g.Name].slow)
 		m.order = append(m.order, m.groups[g.Name])
 		m.period = min(m.period, g.Target*tickShare)
 		m.pool.Target = max(m.pool.Target, g.Target)
@@ -61,7 +63,7 @@
 	m.all = append(slices.Clone(m.order), m.pool, m.desk)
 	m.period = max(min(m.period, m.pool.Target), set.Granularity, 1)
 	m.set.WarmAfter, m.set.OverFor = max(set.WarmAfter, m.period), max(set.OverFor, m.period) // divisors
-	m.turn = m.chance.Next()
+	m.turn, m.limit = m.chance.Next(), math.Inf(1)
 	m.typical, m.least = m.pool.Target*patience, m.pool.Target*patience
 	return m
 }
@@ -123,39 +125,17 @@
 		m.askAt = m.now + m.set.AskWithin*freshness*(0.5+m.chance.Next())
 		return
 	}
-	drop := func(n *node) {
-		n.State = Removed // hits that were forwarded there still know it
-		delete(m.nodes, n.ID)
+	gone := m.merge(e, func(in Node) *node {
+		return &node{coldAt: in.Started, ans: m.typical, limit: 1, budget: m.chance.Next(),
+			tally: make([]stats.Count, len(m.order)+1)}
+	})
+	for _, n := range gone {
 		for _, g := range append(m.order, m.pool) {
 			if n.Build < m.news.Build {
 				g.gone.Add(n.tally[g.index], 1)
 			}
 		}
 	}
-	named := map[NodeID]bool{}
-	for _, in := range e.Nodes {
-		named[in.ID] = true
-		n := m.nodes[in.ID]
-		if n != nil && (in.State == Removed || n.Started != in.Started || n.Build != in.Build) {
-			drop(n) // started anew, or on another build, it is another node
-			n = nil
-		}
-		if in.State != Removed && n == nil {
-			n = &node{coldAt: in.Started, ans: m.typical, limit: 1, budget: m.chance.Next(),
-				pace: cmp.Or(m.kinds[in.Kind], &stats.Mean{}), tally: make([]stats.Count, len(m.order)+1)}
-			m.nodes[in.ID], m.kinds[in.Kind] = n, n.pace
-		}
-		if n != nil {
-			n.Node = in
-		}
-	}
-	for _, n := range m.list {
-		if e.How != Changes && !named[n.ID] {
-			drop(n)
-		}
-	}
-	m.list = slices.SortedFunc(maps.Values(m.nodes), func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
-	m.part()
 }
 
 // warmth is the part of its capacity that a node has at the least.
@@ -184,13 +164,12 @@
 	n.shut = m.now + min(m.set.WarmAfter, rest)
 }
 
-// ---- Hits and their one final answer ----
-
 func (m *Marshal) take(e HitTaken) {
 	// Danger: drawn anew for each hit, half of those meant for grn meet an allowance that is not filled yet.
 	_, m.turn = math.Modf(m.turn + math.Phi)
 	h := &hit{id: e.Hit, taken: m.now, ends: m.now + e.TTL, place: m.turn}
 	h.group = cmp.Or(m.groups[e.Group], m.pool) // not in the settings: the most careful effect
+	h.tenantSlow = m.tenant(e.Tenant)
 	h.key = crc32.ChecksumIEEE([]byte(e.Key)) | uint32(min(1, len(e.Key)))
 	if m.set.KeysStay && h.key != 0 { // a slice of the keys that grows with the stage: few ever change sides
 		h.place = float64(h.key) / (1 << 32)
@@ -215,11 +194,8 @@
 
 // giveUp gives the final answer at once: a bounce where that is harmless, else an error.
 func (m *Marshal) giveUp(h *hit) {
-	if b := (Bounce{Hit: h.id}); m.mayBounce(h) {
-		if m.set.MayBounceLater {
-			b.ComeBack = min(m.set.MaxComeBack, h.Target*patience)
-		}
-		m.do(b)
+	if m.mayBounce(h) {
+		m.do(Bounce{Hit: h.id, ComeBack: min(m.set.MaxComeBack, h.Target*patience)})
 	} else {
 		m.do(Fail{Hit: h.id})
 	}
@@ -257,6 +233,9 @@
 
 // forward sends a hit to the node chosen for it, if there is one.
 func (m *Marshal) forward(h *hit) bool {
+	if out := float64(m.out - m.stuck); out >= m.limit || out == 0 && m.now-m.heard < m.typical*(1/m.limit-1) {
+		return false // less than one at a time: a pause after each
+	}
 	side := 0
 	if h.place < m.share {
 		side = 1
@@ -272,7 +251,7 @@
 	if n.lookAt, h.looks = 0, 0; n.out == 0 {
 		n.since = m.now
 	}
-	n.out, h.out = n.out+1, h.out+1
+	n.out, h.out, m.out = n.out+1, h.out+1, m.out+1
 	h.forwards = append(h.forwards, forward{node: n, at: m.now, out: true, ran: true})
 	if trial, _, _ := m.trial(n.Build); trial {
 		*m.left(h)--
@@ -290,11 +269,14 @@
 
 func (m *Marshal) forwardEnded(h *hit, f *forward, e ForwardEnded) {
 	f.out, f.ran = false, e.Ending != NodeFull && e.Ending != Unreachable && e.Ending != NeverSent
-	h.out, f.node.out = h.out-1, f.node.out-1
+	h.out, f.node.out, m.out = h.out-1, f.node.out-1, m.out-1
 	m.missed -= freshness * freshness * m.missed
 	if f.ran && (e.Ending != Delivered || m.now > h.taken+h.Target) {
 		m.missed += freshness * freshness
 	}
+	if e.Ending == Delivered || e.Ending == TimedOut {
+		m.paceAll(h, e.After)
+	}
 	m.learn(f.node, e)
 	m.sample(h, f.node, e)
 	if b := f.Build; e.Ending == Delivered && h.key != 0 && m.set.KeysStay && m.told && b >= m.news.Build {
@@ -319,6 +301,7 @@
 
 	switch e.Ending {
 	case Delivered:
+		m.heard = m.now
 		m.typical += freshness * freshness * (e.After - m.typical)
 		m.least = min(m.least, m.typical)
 		m.paceLimit(n, e.After)
@@ -353,6 +336,24 @@
 	}
 }
 
+// paceAll limits what is out at all nodes while most answers of every tenant and path group take long for
+// their target. Danger: a thin marshal hears too seldom of each node, and one hit each of hundreds fills all
+// of them. All of them, for slowness of some hits is no lack of power.
+func (m *Marshal) paceAll(h *hit, after Millis) {
+	slow, least := min(1, math.Floor(after/h.Target/patience)), 1.0
+	for _, s := range []*float64{&m.slow, h.slow, h.tenantSlow} {
+		*s += freshness * (slow - *s)
+	}
+	for _, s := range m.slowBy {
+		least = min(least, *s)
+	}
+	if out := float64(m.out - m.stuck + 1); least > crowded {
+		m.limit = min(m.limit, out) * (1 - freshness*(least-crowded)/(1-crowded))
+	} else if out >= m.limit {
+		m.limit += freshness
+	}
+}
+
 // serve gives waiting hits their forwards: first forwards before further ones.
 func (m *Marshal) serve() {
 	for i, wait := range []float64{patience, 1} {
@@ -371,8 +372,6 @@
 	}
 }
 
-// ---- Choice of a node ----
-
 // pick takes the better of two random choices at home; those of other zones must beat it by the price. While
 // much is missed and probes allowed, it looks first, until one is idle: what others sent doesn't show here.
 func (m *Marshal) pick(h *hit, side int) (best *node, wait bool) {
@@ -430,15 +429,10 @@
 	if h.Effect == Mutating {
 		hush *= 2 // what may not run again is lost with the node
 	}
-	switch {
-	case m.now < n.shut || hush >= avoidHush:
+	if n.strikes > 0 && (n.out > 0 || h.Effect != Repeatable) { // one hit that may run again tries it out
 		return false
-	case n.strikes > 0: // one hit that may run again tries it out
-		return n.out == 0 && h.Effect == Repeatable
-	case n.out == 0 && n.limit < 1: // less than one at a time: a pause after each
-		return m.now-n.since >= n.ans*(1/n.limit-1)
 	}
-	return float64(n.out) < n.limit
+	return m.now >= n.shut && hush < avoidHush && float64(n.out) < n.limit
 }
 
 // risk is the chance that this hit fails or misses its target latency there, and the price of crossing.
@@ -461,33 +455,39 @@
 }
 
 func (m *Marshal) lookAround() {
-	var units, use [2]float64 // warm units, and what all can do, of blue and grn
+	use, units := [2]float64{}, 0.0 // what blue and grn can do; units that are warm
+	m.stuck = 0
+	for _, s := range m.slowBy {
+		*s += (m.slow - *s) * m.period / m.set.WarmAfter // those without answers follow the rest
+	}
 	for _, n := range m.list {
+		if n.strikes > 0 || m.hush(n) >= avoidHush {
+			m.stuck += n.out
+		}
+		if n.strikes >= backAfter { // a slow node answers when it is tried again
+			m.troubleAt = m.now
+		}
 		n.fail *= 1 - m.period/m.set.WarmAfter
 		if m.hush(n) >= leaveHush && m.now >= n.shut {
 			m.strike(n)
 		}
-		if w := m.warmth(n); n.State == Up && n.strikes == 0 {
-			if w >= 1 {
-				units[m.side(n)] += n.Units
-			}
+		// Danger: one forward each from hundreds of marshals pushes a cold node over. So each one's part is a
+		// fraction, from a drawn start, and lapses unless soon used; only all parts together are whole forwards.
+		w := m.warmth(n)
+		rate := m.rate * n.Units * w * math.Sqrt(m.set.OverFactor)
+		if n.budget += rate * m.period; n.budget >= 1+rate*m.set.OverFor*patience {
+			n.budget--
+		}
+		if n.State == Up && n.strikes == 0 {
+			units += n.Units * math.Floor(w)
 			// Danger: cold nodes lose in the choice; by their whole share grn's warm ones crowd and look slow.
 			use[m.side(n)] += n.Units * math.Pow(w, float64(1+3*m.side(n)))
 		}
 	}
-
-	if all := units[0] + units[1]; all > 0 { // with only cold nodes left, as last seen
-		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/all/m.period - m.rate)
+	if units > 0 { // with only cold nodes left, as last seen
+		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/units/m.period - m.rate)
 	}
 	m.delivered = 0
-	// Danger: one forward each from hundreds of marshals pushes a cold node over. So each one's part is a
-	// fraction, from a drawn start, and lapses unless soon used; only all of them together make whole forwards.
-	for _, n := range m.list {
-		rate := m.rate * n.Units * m.warmth(n) * math.Sqrt(m.set.OverFactor)
-		if n.budget += rate * m.period; n.budget >= 1+rate*m.set.OverFor*patience {
-			n.budget--
-		}
-	}
 	m.least *= 1 + m.period/m.set.WarmAfter/groupSize // creeps up, as the paces of nodes may
 	if m.share = use[1] / max(use[0], use[1], tiny); m.set.InPlace {
 		m.share = use[1] / max(use[0]+use[1], tiny)
@@ -551,8 +551,6 @@
 	return least
 }
 
-// ---- Judging ----
-
 // sample adds an outcome to the groups of its build.
 func (m *Marshal) sample(h *hit, n *node, e ForwardEnded) {
 	g, v, tally := h.group, e.After, stats.Count{}
@@ -561,10 +559,9 @@
 		tally.Good = 1
 	case NodeError:
 		v, tally.Bad = math.Inf(1), 1 // a failure ranks behind every answer
-		fallthrough
-	default:
-		m.erred.Add(tally.Bad, memory)
 	}
+	m.failures.Add(stats.Count{Good: 1 - tally.N(), Bad: tally.Bad}, 1)
+	m.failures = m.failures.AtMost(memory)
 	if tally.N() == 0 && (e.Ending != TimedOut || n.strikes > 0 || h.done) { // a silent node, not its build
 		return
 	}
@@ -592,8 +589,9 @@
 		return
 	}
 	// Danger: what nodes refuse or leave unanswered is no build's doing; the desk doesn't tell it from errors.
+	// So its failures count by the share of errors in the marshal's own, of which one may be chance.
 	counted, newest := stats.Count{Good: float64(e.Count - e.Failed)}, e.Build == m.news.Build
-	counted.Bad = float64(e.Failed) * m.erred.Or(1)
+	counted.Bad = float64(e.Failed) * max(0, m.failures.Bad-1) / (m.failures.N() + groupSize/4)
 	// Danger: trouble of nodes fails both builds, at times when one has more traffic than at others. So grn's
 	// counts meet as many of blue from the same period.
 	if !newest {
@@ -702,8 +700,6 @@
 	return worst, seen
 }
 
-// ---- Voting ----
-
 func (m *Marshal) stageNews(e StageNews) {
 	if e.ToVote { // not taken: again after a while
 		m.voteOK = e.VoteFate == VoteOK
@@ -750,7 +746,7 @@
 			agree = agree && g.agrees
 		}
 		reject = reject || g.rejects > 0 || g.before != nil && g.before.rejects > 0
-		if g.rejects >= g.often {
+		if g.rejects >= g.often && m.now-m.troubleAt >= m.set.WarmAfter { // lost nodes crowd the rest
 			back = g
 		}
 		if g.before != nil && g.before.rejects >= 4*g.often {
@@ -761,7 +757,7 @@
 	switch trial := m.news.Phase == OnTrial; {
 	case failing >= 1:
 		return VoteBack, fmt.Sprintf("it fails more often, %.1f times what proves it", failing)
-	case trial && back != nil && m.now-m.troubleAt >= m.set.WarmAfter: // lost nodes crowd the rest
+	case trial && back != nil:
 		return VoteBack, fmt.Sprintf("path group %q clearly slower again, by %.2f at last", back.Name, back.gap)
 	case slow != nil && (trial || m.now-m.stageAt < 3*m.set.WarmAfter):
 		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", slow.gap)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -72,7 +72,11 @@
 
 func TestBounceNamesATime(t *testing.T) {
 	for _, may := range []bool{true, false} {
-		r := start(t, trial(0, 0), func(s *Settings) { s.MayBounceLater = may })
+		r := start(t, trial(0, 0), func(s *Settings) {
+			if !may {
+				s.MaxComeBack = 0
+			}
+		})
 		r.do(NodesChanged{How: Whole})
 		r.hit("read", "")
 		r.wait(300)
@@ -429,18 +433,26 @@
 	}
 }
 
-// Lost nodes crowd the rest, so slowness sends no build back until a warm-up time after the last was found.
+// Lost nodes crowd the rest, so slowness sends no build back until a warm-up time after the last was found,
+// nor while one is found out of reach again and again: a thin marshal tried it out too seldom to be reminded.
 func TestSlowInTrouble(t *testing.T) {
 	for _, c := range []struct {
-		ago  Millis
-		want Verdict
-	}{{0, VoteNone}, {3900, VoteNone}, {4000, VoteBack}} {
+		ago    Millis
+		found  int // times in a row
+		looked bool
+		want   Verdict
+	}{{0, 1, false, VoteNone}, {3900, 1, false, VoteNone}, {4000, 1, true, VoteBack},
+		{9000, 2, true, VoteNone}} {
 		r := start(t, trial(1, 0.5), nil)
 		r.m.order[0].rejects = backAfter
-		r.m.strike(r.m.nodes["b1"])
-		r.m.now += c.ago
+		for range c.found {
+			r.m.strike(r.m.nodes["b1"])
+		}
+		if r.m.now += c.ago; c.looked {
+			r.m.lookAround()
+		}
 		if got, why := r.m.verdict(); got != c.want {
-			t.Errorf("%v ms ago: %v, %s", c.ago, got, why)
+			t.Errorf("%+v: %v, %s", c, got, why)
 		}
 	}
 }
@@ -536,8 +548,8 @@
 			list = append(list, node4(NodeID(fmt.Sprint("a3", i)), 8))
 		}
 		r.do(NodesChanged{How: Whole, Nodes: list})
-		if !c.errors {
-			r.m.erred.Add(0, 1)
+		if c.errors {
+			r.m.failures.Bad = 40
 		}
 		for i := range 10 {
 			if i == 4 {
@@ -566,8 +578,8 @@
 	}
 }
 
-// While much is missed, a hit goes to the first node whose probe comes back as from an idle one, at the latest
-// to the best of three; without answers it goes by what is known.
+// While much is missed, a hit goes to the first node whose probe comes back as from an idle one, at the
+// latest to the best of three; without answers it goes by what is known.
 func TestLooks(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -606,3 +618,29 @@
 		}
 	}
 }
+
+// While most answers of every path group and tenant take long, less goes out at once, and hits bounce early;
+// slow answers of one tenant are no lack of power.
+func TestCrowded(t *testing.T) {
+	for _, c := range []struct {
+		slow    map[TenantID]bool
+		limited bool
+	}{{nil, false}, {map[TenantID]bool{"x": true}, false}, {map[TenantID]bool{"x": true, "y": true}, true}} {
+		r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+		for i := range 80 {
+			who := TenantID("xy"[i%2 : i%2+1])
+			r.next++
+			r.do(HitTaken{Hit: r.next, Group: r.m.order[i%3].Name, Tenant: who, TTL: 1000})
+			r.wait(20)
+			if after := 20.0; r.sent(r.next, 0) != "" {
+				if c.slow[who] {
+					after = 300
+				}
+				r.end(r.next, 0, Delivered, after)
+			}
+		}
+		if (r.m.limit < 2) != c.limited {
+			t.Errorf("slow %v: limit %v", c.slow, r.m.limit)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,12 @@
 package logic
 
-import "ottershed/internal/stats"
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"ottershed/internal/stats"
+)
 
 // Marshal is one instance.
 type Marshal struct {
@@ -25,14 +31,20 @@
 	room            allowance            // exposure over all path groups
 	pins            map[uint16]bool      // hashes of keys that pinBuild answered
 	pinBuild        Build
-	share, turn     float64       // of hits that go to grn; the newest one's place among them
-	typical, least  Millis        // answer time over all nodes, and the least it was, creeping up
-	rate, delivered float64       // answers a ms of a warm unit; the newest
-	erred           stats.Mean    // of own failures: the share that are errors
-	troubleAt       Millis        // a node was last found out of reach
-	closeAt         Millis        // the pool's group of the build on trial is judged as it is
-	parts           [2][2][]*node // the list by build and zone: blue and grn, at home and away
-	from            [2][]*node    // scratch: those that a hit may go to, at home and away
+	share, turn     float64               // of hits that go to grn; the newest one's place among them
+	typical, least  Millis                // answer time over all nodes, and the least it was, creeping up
+	slow            float64               // share of answers that took long for their target
+	slowBy          []*float64            // the same by tenant and path group
+	tenants         map[TenantID]*float64 // as in the settings
+	out, stuck      int                   // forwards out, and those of them at silent nodes
+	limit           float64               // on forwards out at all nodes
+	heard           Millis                // the last answer
+	rate, delivered float64               // answers a ms of a warm unit; the newest
+	failures        stats.Count           // own ones, bad where the node answered with an error
+	troubleAt       Millis                // a node was last found out of reach
+	closeAt         Millis                // the pool's group of the build on trial is judged as it is
+	parts           [2][2][]*node         // the list by build and zone: blue and grn, at home and away
+	from            [2][]*node            // scratch: those that a hit may go to, at home and away
 	weights         [2][]float64
 	base            [2]Millis // what a probe to an idle node takes, at home and away
 	missed          float64   // smoothed share of forwards that were late or lost
@@ -53,8 +65,9 @@
 	counted                [2]stats.Count // by the desk, since then: of grn, and as many of blue beside them
 	blueNow                stats.Count    // of blue in the desk's newest period
 	agrees                 bool
-	rejects, often         int     // in a row; as many send a build back
-	gap                    float64 // of medians, at the last look
+	rejects, often         int      // in a row; as many send a build back
+	slow                   *float64 // share of answers that took long for their target
+	gap                    float64  // of medians, at the last look
 }
 
 type node struct {
@@ -78,6 +91,7 @@
 	*group
 	key         uint32  // hash; 0 without a key
 	place       float64 // from 0 to 1, the lowest go to grn first
+	tenantSlow  *float64
 	taken, ends Millis
 	forwards    []forward
 	out         int
@@ -131,3 +145,48 @@
 	}
 	return nil, nil
 }
+
+// tenant is the share of slow answers of a tenant; the settings bound their number.
+func (m *Marshal) tenant(id TenantID) *float64 {
+	slow := m.tenants[id]
+	if slow == nil {
+		slow = new(float64)
+		m.tenants[id], m.slowBy = slow, append(m.slowBy, slow)
+	}
+	return slow
+}
+
+// merge takes in what the list says and returns the nodes that have left it, which hits may still know. A
+// node that started anew, or on another build, is another node.
+func (m *Marshal) merge(e NodesChanged, fresh func(Node) *node) (gone []*node) {
+	drop := func(n *node) {
+		n.State = Removed
+		delete(m.nodes, n.ID)
+		gone = append(gone, n)
+	}
+	named := map[NodeID]bool{}
+	for _, in := range e.Nodes {
+		named[in.ID] = true
+		n := m.nodes[in.ID]
+		if n != nil && (in.State == Removed || n.Started != in.Started || n.Build != in.Build) {
+			drop(n)
+			n = nil
+		}
+		if in.State != Removed && n == nil {
+			n = fresh(in)
+			n.pace = cmp.Or(m.kinds[in.Kind], &stats.Mean{})
+			m.nodes[in.ID], m.kinds[in.Kind] = n, n.pace
+		}
+		if n != nil {
+			n.Node = in
+		}
+	}
+	for _, n := range m.list {
+		if e.How != Changes && !named[n.ID] {
+			drop(n)
+		}
+	}
+	m.list = slices.SortedFunc(maps.Values(m.nodes), func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
+	m.part()
+	return gone
+}
