--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -274,6 +274,8 @@
 		put("wake_me", uint64(a.Token), ms(a.At))
 	case logic.Probe:
 		put("sound_out", a.Node)
+	case logic.CloseIdle:
+		put("shut_idle", a.Node)
 	case logic.Tell:
 		to := "*"
 		if !a.All {
--- a/logic/api.go
+++ b/logic/api.go
@@ -266,8 +266,9 @@
 		Token Token
 		At    Millis
 	}
-	Probe struct{ Node NodeID }
-	Tell  struct {
+	Probe     struct{ Node NodeID }
+	CloseIdle struct{ Node NodeID } // idle connections to it
+	Tell      struct {
 		To   MarshalNo
 		All  bool
 		Data []byte
@@ -282,14 +283,15 @@
 	}
 )
 
-func (Forward) action() {}
-func (Bounce) action()  {}
-func (Fail) action()    {}
-func (Cancel) action()  {}
-func (WakeAt) action()  {}
-func (Probe) action()   {}
-func (Tell) action()    {}
-func (Log) action()     {}
-func (Watch) action()   {}
-func (Lookup) action()  {}
-func (Vote) action()    {}
+func (Forward) action()   {}
+func (Bounce) action()    {}
+func (Fail) action()      {}
+func (Cancel) action()    {}
+func (WakeAt) action()    {}
+func (Probe) action()     {}
+func (CloseIdle) action() {}
+func (Tell) action()      {}
+func (Log) action()       {}
+func (Watch) action()     {}
+func (Lookup) action()    {}
+func (Vote) action()      {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -233,8 +233,8 @@
 
 // forward sends a hit to the node chosen for it, if there is one.
 func (m *Marshal) forward(h *hit) bool {
-	if out := float64(m.out - m.stuck); out >= m.limit || out == 0 && m.now-m.heard < m.typical*(1/m.limit-1) {
-		return false // less than one at a time: a pause after each
+	if float64(m.out-m.stuck) >= m.limit {
+		return false
 	}
 	side := 0
 	if h.place < m.share {
@@ -299,9 +299,17 @@
 		m.answered(n)
 	}
 
+	// A node that refuses at once has no connection left. Danger: held idle by hundreds they shut the others
+	// out.
+	m.refused -= freshness * m.refused
+	if e.Ending == Unreachable && e.After < m.least*patience {
+		m.refused += freshness
+	} else if n.out == 0 && m.refused > tickShare {
+		m.do(CloseIdle{Node: n.ID})
+	}
 	switch e.Ending {
 	case Delivered:
-		m.heard = m.now
+
 		m.typical += freshness * freshness * (e.After - m.typical)
 		m.least = min(m.least, m.typical)
 		m.paceLimit(n, e.After)
@@ -444,14 +452,7 @@
 	if m.looked(n) {
 		t = m.least * n.look
 	}
-	risk := n.fail + (1-n.fail)*math.Exp(-h.Target/max(t, tiny))
-	if n.Zone != m.set.Zone {
-		risk += m.set.CrossPrice
-	}
-	if slices.ContainsFunc(h.forwards, func(f forward) bool { return f.node == n }) {
-		risk++
-	}
-	return risk
+	return n.fail + (1-n.fail)*math.Exp(-h.Target/max(t, tiny)) + float64(m.away(n))*m.set.CrossPrice
 }
 
 func (m *Marshal) lookAround() {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -644,3 +644,31 @@
 		}
 	}
 }
+
+// While nodes refuse connections at once, idle ones are closed after use, so that other marshals find room; slow
+// handshakes that run out of time are no refusal, and closing would bring more of them.
+func TestCloseIdle(t *testing.T) {
+	for _, c := range []struct {
+		after  Millis // until unreachable
+		closes bool
+	}{{0.5, true}, {250, false}} {
+		r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+		for i := range 20 {
+			r.wait(100)
+			h, to := r.hit("read", "")
+			if i%4 == 0 && to != "" {
+				r.end(h, 0, Unreachable, c.after)
+			}
+			r.answer("", 20)
+		}
+		closed := 0
+		for _, a := range r.acts {
+			if _, ok := a.(CloseIdle); ok {
+				closed++
+			}
+		}
+		if (closed > 0) != c.closes {
+			t.Errorf("unreachable after %v: %d closed", c.after, closed)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,7 +38,6 @@
 	tenants         map[TenantID]*float64 // as in the settings
 	out, stuck      int                   // forwards out, and those of them at silent nodes
 	limit           float64               // on forwards out at all nodes
-	heard           Millis                // the last answer
 	rate, delivered float64               // answers a ms of a warm unit; the newest
 	failures        stats.Count           // own ones, bad where the node answered with an error
 	troubleAt       Millis                // a node was last found out of reach
@@ -48,6 +47,7 @@
 	weights         [2][]float64
 	base            [2]Millis // what a probe to an idle node takes, at home and away
 	missed          float64   // smoothed share of forwards that were late or lost
+	refused         float64   // smoothed share of forwards that were refused a connection at once
 	vote            Vote
 	voteAt, voteDue Millis // when it was cast; no other before
 }
