Front passes on no transfer coding, no open id, no unknown account; heads, bodies and silence are bounded

Cause: net/http takes such a request and drops the length before the handler, so front.check could not see it; TransferEncoding is what is left to see. Beside it, all checked by a table test: ids of open hits (409), no id, repeated fields, a GET with a body, absolute and escaped paths, accounts that the settings don't name (the module kept a figure for each new one for good), heads beyond 8 KB, bodies beyond 64 KB by their length and unread, silence and half requests, which had 2 s each and now have 1 s. Covers any framing that two readers could read in two ways. Hurts clients that send chunked bodies or stay silent for over a second after connecting.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,18 @@
 	"ottershed/logic"
 )
 
-const longestBody = 64 << 10
+const (
+	longestBody = 64 << 10
+	longestHead = 8 << 10
+	longestID   = 128
+
+	// owed is when a client that doesn't ask for anything readable must have an error or a close, from connecting on.
+	owed = 3 * time.Second
+	// inTime is the part of it that the head of a request may take, and its body again.
+	inTime = owed / 3
+	// unused is how long a connection is kept for a client that asks nothing more.
+	unused = 2 * owed
+)
 
 // Marshal is whom hits are handed to.
 type Marshal interface {
@@ -38,16 +50,23 @@
 	clock    *clock.Clock
 	groups   map[string]logic.PathGroup // by the settings
 	network  settings.Network
-	comeBack logic.Millis // longest time to come back
+	comeBack logic.Millis            // longest time to come back
+	tenants  map[logic.TenantID]bool // by the settings
 	gate     *gate
 	server   *http.Server
 	leaving  atomic.Bool
+
+	mu  sync.Mutex
+	ids map[string]bool // of hits that are open; the end of their handler empties it
 }
 
 // New makes a front that holds so many connections of clients; Serve starts it.
 func New(m Marshal, c *clock.Clock, s logic.Settings, n settings.Network, most int, log logrus.FieldLogger) *Front {
 	f := &Front{marshal: m, clock: c, network: n, comeBack: s.MaxComeBack, gate: newGate(most, log),
-		groups: map[string]logic.PathGroup{}}
+		groups: map[string]logic.PathGroup{}, tenants: map[logic.TenantID]bool{}, ids: map[string]bool{}}
+	for _, id := range s.Tenants {
+		f.tenants[id] = true
+	}
 	for _, g := range s.Groups {
 		f.groups[string(g.Name)] = g
 	}
@@ -60,7 +79,7 @@
 		} else {
 			hits(w, r)
 		}
-	}), ReadHeaderTimeout: clock.Span(n.LongestTimeout), ErrorLog: quietLog(),
+	}), ReadHeaderTimeout: inTime, IdleTimeout: unused, MaxHeaderBytes: longestHead, ErrorLog: quietLog(),
 		ConnState: f.gate.state}
 	return f
 }
@@ -97,25 +116,38 @@
 
 type hitKey struct{}
 
+// refuse answers what is no hit with an error, and closes. Danger: where its framing is in doubt, what follows on the
+// connection may be a part of it, or hide another request.
+func refuse(w http.ResponseWriter, status int, fault string) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, fault, status)
+}
+
 // whole reads a request to its end and checks it before the marshal hears of it.
 func (f *Front) whole(next http.Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		taken := f.clock.Now()
 		group, left, status, fault := f.check(r)
 		if fault != "" {
-			http.Error(w, fault, status)
+			refuse(w, status, fault)
 			return
 		}
-		control := http.NewResponseController(w)
-		control.SetReadDeadline(time.Now().Add(clock.Span(left)))
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, longestBody))
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			http.Error(w, "body too long", http.StatusRequestEntityTooLarge)
+		var body []byte
+		if r.ContentLength > 0 {
+			control := http.NewResponseController(w)
+			control.SetReadDeadline(time.Now().Add(min(inTime, clock.Span(left))))
+			body = make([]byte, r.ContentLength)
+			if _, err := io.ReadFull(r.Body, body); err != nil {
+				panic(http.ErrAbortHandler) // cut off halfway
+			}
+			control.SetReadDeadline(time.Time{})
+		}
+		id := r.Header.Get("X-Correlation-Id")
+		if !f.claim(id) {
+			refuse(w, http.StatusConflict, "X-Correlation-Id is that of an open request")
 			return
-		} else if err != nil {
-			panic(http.ErrAbortHandler) // cut off halfway
 		}
-		control.SetReadDeadline(time.Time{})
+		defer f.release(id)
 		hit := &marshal.Hit{Group: group.Name, Tenant: logic.TenantID(r.Header.Get("X-Account")), Left: left,
 			Taken: taken, Retried: r.Header.Get("X-Repeat") == "1",
 			Request: &marshal.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body}}
@@ -124,21 +156,55 @@
 	}
 }
 
+// claim tells whether no open hit has this id. Danger: two with one id are copies of each other for a node.
+func (f *Front) claim(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	free := !f.ids[id]
+	f.ids[id] = true
+	return free
+}
+
+func (f *Front) release(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.ids, id)
+}
+
 // check tells the path group and the time that is left, or what is wrong with a request and the status for it.
 func (f *Front) check(r *http.Request) (group logic.PathGroup, left logic.Millis, status int, fault string) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	group, known := f.groups[name]
+	for _, field := range []string{"X-Correlation-Id", "X-Time-Left", "X-Account", "Idempotency-Key"} {
+		if len(r.Header[field]) > 1 {
+			return group, 0, http.StatusBadRequest, field + " more than once"
+		}
+	}
 	seconds, err := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
 	left = seconds * 1000
 	method := http.MethodPost
 	if group.Effect == logic.Repeatable {
 		method = http.MethodGet
 	}
+	id, account := r.Header.Get("X-Correlation-Id"), logic.TenantID(r.Header.Get("X-Account"))
 	switch {
-	case !known:
+	// Danger: with both a transfer coding and a length, which the server drops unseen, the body may hide another
+	// request. Clients send none of the codings, so none is taken.
+	case len(r.TransferEncoding) > 0:
+		return group, 0, http.StatusLengthRequired, "no transfer coding is taken"
+	case r.ContentLength > longestBody:
+		return group, 0, http.StatusRequestEntityTooLarge, "body too long"
+	case !strings.HasPrefix(r.RequestURI, "/") || !known:
 		return group, 0, http.StatusNotFound, "no such path group"
 	case r.Method != method:
 		return group, 0, http.StatusMethodNotAllowed, "this path group takes " + method
+	case method == http.MethodGet && r.ContentLength != 0:
+		return group, 0, http.StatusBadRequest, "a GET takes no body"
+	case id == "" || len(id) > longestID:
+		return group, 0, http.StatusBadRequest, "X-Correlation-Id is missing or too long"
+	case len(f.tenants) > 0 && !f.tenants[account]:
+		return group, 0, http.StatusBadRequest, "no such X-Account"
 	case err != nil || math.IsNaN(left) || left <= 0 || left > 2*f.network.LongestTimeout:
 		return group, 0, http.StatusBadRequest, "X-Time-Left is no time that a client waits"
 	case group.Effect == logic.Tagged && r.Header.Get("Idempotency-Key") == "":
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	log.SetOutput(io.Discard)
 	m := fake{make(chan *marshal.Hit, 100), make(chan *marshal.Hit, 100)}
 	f := New(m, clock.New(), logic.Settings{MaxComeBack: 500, Groups: []logic.PathGroup{{Name: "read", Effect: logic.Repeatable},
-		{Name: "mark", Effect: logic.Tagged}, {Name: "pay"}}}, settings.Network{LongestTimeout: 2000, AnswerSlack: 20}, most, log)
+		{Name: "mark", Effect: logic.Tagged}, {Name: "pay"}}, Tenants: []logic.TenantID{"", "acme"}}, settings.Network{LongestTimeout: 2000, AnswerSlack: 20}, most, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -64,10 +65,16 @@
 	return &client{t, c, bufio.NewReader(c)}
 }
 
+// send sends a request, with an id of its own if it has none.
 func (c *client) send(line, headers, body string) {
+	if !strings.Contains(headers, "X-Correlation-Id") {
+		headers += fmt.Sprintf("X-Correlation-Id: c%d\r\n", ids.Add(1))
+	}
 	fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: app.svc\r\n%s\r\n%s", line, headers, body)
 }
 
+var ids atomic.Int64
+
 // answer reads an answer; the status is 0 if the connection ends.
 func (c *client) answer() (*http.Response, string) {
 	res, err := http.ReadResponse(c.r, nil)
@@ -99,9 +106,23 @@
 		"GET, mutating":     {"GET /pay/1", "X-Time-Left: 1\r\n", "", 405},
 		"no tag":            {"POST /mark/1", "X-Time-Left: 1\r\nContent-Length: 0\r\n", "", 400},
 		"too long":          {"POST /pay/1", fmt.Sprintf("X-Time-Left: 1\r\nContent-Length: %d\r\n", len(long)), long, 413},
-		"too long, chunked": {"POST /pay/1", "X-Time-Left: 1\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long), 413},
-		"cut off":           {"POST /pay/1", "X-Time-Left: 0.05\r\nContent-Length: 5\r\n", "four", 0},
-		"no HTTP":           {"what", "", "", 400},
+		"too long by 60 MB": {"POST /pay/1", "X-Time-Left: 1\r\nContent-Length: 60000000\r\n", "", 413},
+		"length negative":   {"POST /pay/1", "X-Time-Left: 1\r\nContent-Length: -5\r\n", "", 400},
+		"length huge":       {"POST /pay/1", "X-Time-Left: 1\r\nContent-Length: 99999999999999999999\r\n", "", 400},
+		"two lengths":       {"POST /pay/1", "X-Time-Left: 1\r\nContent-Length: 4\r\nContent-Length: 5\r\n", "five5", 400},
+		"chunked":           {"POST /pay/1", "X-Time-Left: 1\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n", 411},
+		"a hidden request": {"POST /pay/1", "X-Time-Left: 1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+			"0\r\n\r\nGET /read/1 HTTP/1.1\r\nHost: a\r\nX-Time-Left: 1\r\nX-Correlation-Id: hidden\r\n\r\n", 411},
+		"GET with a body": {"GET /read/1", "X-Time-Left: 1\r\nContent-Length: 2\r\n", "hi", 400},
+		"no id":           {"GET /read/1", "X-Time-Left: 1\r\nX-Correlation-Id:\r\n", "", 400},
+		"two ids":         {"GET /read/1", "X-Time-Left: 1\r\nX-Correlation-Id: a\r\nX-Correlation-Id: b\r\n", "", 400},
+		"id too long":     {"GET /read/1", "X-Time-Left: 1\r\nX-Correlation-Id: " + long[:200] + "\r\n", "", 400},
+		"another host":    {"GET http://other/read/1", "X-Time-Left: 1\r\n", "", 404},
+		"odd letters":     {"GET /%72ead/1", "X-Time-Left: 1\r\n", "", 404},
+		"no such account": {"GET /read/1", "X-Time-Left: 1\r\nX-Account: new\r\n", "", 400},
+		"endless head":    {"GET /read/1", "X-Filler: " + long + "\r\n", "", 431},
+		"cut off":         {"POST /pay/1", "X-Time-Left: 0.05\r\nContent-Length: 5\r\n", "four", 0},
+		"no HTTP":         {"what", "", "", 400},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, m, address := start(t, 10)
@@ -154,6 +175,56 @@
 	}
 }
 
+// An id is refused while a hit with it is open, and free again then.
+func TestOpenID(t *testing.T) {
+	f, m, address := start(t, 10)
+	clients := []*client{dial(t, address), dial(t, address), dial(t, address)}
+	for i, status := range []int{0, 409, 200} {
+		c := clients[i]
+		c.send("GET /read/1", "X-Time-Left: 1\r\nX-Correlation-Id: same\r\n", "")
+		switch status {
+		case 0:
+			<-m.hits
+			continue
+		case 200:
+			(<-m.hits).Answer(marshal.Answer{Kind: marshal.Delivered, Reply: &marshal.Reply{Fields: map[string][]string{}}})
+		}
+		if res, _ := c.answer(); res.StatusCode != status {
+			t.Errorf("status %d, want %d", res.StatusCode, status)
+		}
+		if status == 409 {
+			clients[0].Close()
+			<-m.gone
+			for f.open() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+}
+
+func (f *Front) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.ids)
+}
+
+// Silence, half a head and half a body end in a close long before one is owed.
+func TestSlowClients(t *testing.T) {
+	for name, sent := range map[string]string{"nothing": "", "half a line": "GET /re", "half a head": "GET /read/1 HTTP/1.1\r\nHost: a\r\n",
+		"half a body": "POST /pay/1 HTTP/1.1\r\nHost: a\r\nX-Time-Left: 2\r\nX-Correlation-Id: half\r\nContent-Length: 5\r\n\r\nfour"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, m, address := start(t, 10)
+			c := dial(t, address)
+			io.WriteString(c, sent)
+			c.SetReadDeadline(time.Now().Add(owed))
+			if _, err := io.ReadAll(c); err != nil || len(m.hits) > 0 {
+				t.Errorf("%v, %d hits", err, len(m.hits))
+			}
+		})
+	}
+}
+
 // A hit that the marshal leaves without an answer gets one here, and is taken back.
 func TestOverdue(t *testing.T) {
 	_, m, address := start(t, 10)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -193,5 +193,8 @@
 		}
 		s.Groups = append(s.Groups, g)
 	}
+	for i := 0; i < int(p.may("tenants.count")); i++ {
+		s.Tenants = append(s.Tenants, logic.TenantID(p.v[fmt.Sprintf("tenants.%d.name", i)]))
+	}
 	return s, p.err
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -59,6 +59,7 @@
 	Zone        Zone
 	Granularity Millis
 	Groups      []PathGroup
+	Tenants     []TenantID
 	AskList     bool // the list must be asked for
 	AskWithin   Millis
 
