SIGHUP has the configuration reread; desk and discovery move to its addresses

Cause: no handler; and nothing let desk or discovery leave an address, and LB_DISCOVERY of the start came before the file. Now the next connection or watch begins beside the old one, which is left once the new one has spoken; a new agent is asked for the whole list first, for its index need not hold. Votes still out at the old desk keep their fate; what it tells of the build after the new one has spoken counts as told no more, and the vote goes out again. A file that is missing, half written or wrong changes nothing. Covers moves of either party for any reason that the file tells.

--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -46,11 +47,16 @@
 	debug.SetMemoryLimit(cfg.Limits.MemoryLimit())
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	return run(ctx, cfg, log, stop)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	reread := func() (*config.Config, error) { return config.Reread(cmd.String("config"), os.Getenv) }
+	return run(ctx, cfg, log, stop, hup, reread)
 }
 
-// run is a marshal from its start until stop says that it leaves. The parts end in the order front, then all others.
-func run(ctx context.Context, cfg *config.Config, log logrus.FieldLogger, stop <-chan os.Signal) error {
+// run is a marshal from its start until stop says that it leaves; what hup says has it reread its configuration. The
+// parts end in the order front, then all others.
+func run(ctx context.Context, cfg *config.Config, log logrus.FieldLogger, stop, hup <-chan os.Signal,
+	reread func() (*config.Config, error)) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -74,7 +80,28 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	for _, part := range []func(context.Context){m.Run, pool.Run, release.Run, follower.Run} {
+	reload := func(ctx context.Context) {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			}
+			// Danger: a file that is wrong or half written must leave all as it was.
+			next, err := reread()
+			if err != nil {
+				log.WithError(err).Error("configuration not taken")
+				continue
+			}
+			if fixed := cfg.Fixed(next); len(fixed) > 0 {
+				log.WithField("keys", strings.Join(fixed, ",")).Warn("configuration: these need a restart")
+			}
+			follower.Move(ctx, next.Discovery) // it never waits; the desk may while it connects
+			release.Move(ctx, next.Platform)
+			log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform}).Info("configuration taken")
+		}
+	}
+	for _, part := range []func(context.Context){m.Run, pool.Run, release.Run, follower.Run, reload} {
 		running.Go(func() { part(ctx) })
 	}
 
--- a/cmd/ottershed/serve_test.go
+++ b/cmd/ottershed/serve_test.go
@@ -37,6 +37,8 @@
 	nodes   []*httptest.Server
 	ill     atomic.Int32 // which trouble the nodes have
 	version atomic.Int32
+	asked   atomic.Int32 // calls to the agent
+	said    atomic.Int32 // lines to the desk
 	agent   *httptest.Server
 	desk    net.Listener
 	mu      sync.Mutex
@@ -81,6 +83,7 @@
 }
 
 func (w *town) list(rw http.ResponseWriter, r *http.Request) {
+	w.asked.Add(1)
 	for r.URL.RawQuery != "" && strings.Contains(r.URL.RawQuery, fmt.Sprintf("since=%d&", w.version.Load())) {
 		select {
 		case <-r.Context().Done():
@@ -111,6 +114,7 @@
 			for lines := bufio.NewScanner(c); lines.Scan(); {
 				var in struct{ ID int }
 				json.Unmarshal(lines.Bytes(), &in)
+				w.said.Add(1)
 				fmt.Fprintf(c, `{"id":%d,"result":true}`+"\n"+
 					`{"method":"stage","params":{"image":1,"ring":0,"progress":"live","ceiling":1}}`+"\n", in.ID)
 			}
@@ -128,6 +132,12 @@
 }
 
 func (w *town) config(t *testing.T) *config.Config {
+	cfg, _ := w.file(t)
+	return cfg
+}
+
+// file is the configuration and the path of its file.
+func (w *town) file(t *testing.T) (*config.Config, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -143,7 +153,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return cfg
+	return cfg, path
 }
 
 func descriptors(t *testing.T) int {
@@ -167,7 +177,7 @@
 	cfg := w.config(t)
 	var out bytes.Buffer
 	stop, left := make(chan os.Signal, 1), make(chan error)
-	go func() { left <- run(context.Background(), cfg, logging.New(&out, logrus.InfoLevel), stop) }()
+	go func() { left <- run(context.Background(), cfg, logging.New(&out, logrus.InfoLevel), stop, nil, nil) }()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableKeepAlives: false}}
 	url := "http://" + cfg.Listen
 	for {
@@ -256,12 +266,69 @@
 	}
 }
 
+// On SIGHUP the marshal moves to the addresses of the file; one that is missing, half written or wrong changes nothing;
+// SIGHUP while it leaves does no harm.
+func TestReload(t *testing.T) {
+	one, two := newTown(t), newTown(t)
+	defer one.close()
+	defer two.close()
+	cfg, path := one.file(t)
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	stop, hup, left, taken := make(chan os.Signal, 1), make(chan os.Signal), make(chan error), make(chan error)
+	go func() {
+		left <- run(context.Background(), cfg, logging.New(&out, logrus.InfoLevel), stop, hup, func() (*config.Config, error) {
+			next, err := config.Reread(path, func(string) string { return "" })
+			taken <- err
+			return next, err
+		})
+	}()
+	until := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	until("the first agent and desk are not asked", func() bool { return one.asked.Load() > 1 && one.said.Load() > 0 })
+	for _, text := range []string{"", string(good[:len(good)/2]), strings.Replace(string(good), `"discovery":"`, `"discovery":"?`, 1)} {
+		if os.Remove(path); text != "" {
+			os.WriteFile(path, []byte(text), 0o600)
+		}
+		if hup <- syscall.SIGHUP; <-taken == nil {
+			t.Errorf("taken: %q", text)
+		}
+	}
+	next := strings.Replace(string(good), one.agent.Listener.Addr().String(), two.agent.Listener.Addr().String(), 1)
+	next = strings.Replace(next, one.desk.Addr().String(), two.desk.Addr().String(), 1)
+	for _, text := range []string{next, string(good), next} { // one behind another
+		os.WriteFile(path, []byte(text), 0o600)
+		if hup <- syscall.SIGHUP; <-taken != nil {
+			t.Errorf("not taken: %q", text)
+		}
+	}
+	stop <- syscall.SIGTERM
+	hup <- syscall.SIGHUP
+	<-taken
+	until("the next agent and desk are not asked", func() bool { return two.asked.Load() > 1 && two.said.Load() > 0 })
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+	if n := strings.Count(out.String(), "configuration not taken"); n != 3 || !strings.Contains(out.String(), "error=\"discovery: ") {
+		t.Errorf("%d lines for three files that are no good\n%s", n, out.String())
+	}
+}
+
 func TestStartFails(t *testing.T) {
 	w := newTown(t)
 	defer w.close()
 	cfg := w.config(t)
 	cfg.Listen = w.desk.Addr().String() // taken
-	if err := run(context.Background(), cfg, logging.New(io.Discard, logrus.InfoLevel), nil); err == nil {
+	if err := run(context.Background(), cfg, logging.New(io.Discard, logrus.InfoLevel), nil, nil, nil); err == nil {
 		t.Error("served on a taken address")
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,6 +104,30 @@
 
 // Read reads the file at path and the environment. An error names the key at fault.
 func Read(path string, env func(string) string) (*Config, error) {
+	return readAs(path, env, false)
+}
+
+// Reread reads the file again for a marshal that runs. Danger: its environment is that of its start, and would keep
+// an address that has been left; so here the file's discovery comes first.
+func Reread(path string, env func(string) string) (*Config, error) {
+	return readAs(path, env, true)
+}
+
+// Fixed names the keys that differ in next and hold from a start on only. A new seed is nothing to tell of.
+func (c *Config) Fixed(next *Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings) && c.Network == next.Network}} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+func readAs(path string, env func(string) string, again bool) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
@@ -120,7 +144,7 @@
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	for key, to := range map[string]*string{"LB_NAME": &f.Name, "LB_LISTEN": &f.Listen, "LB_DISCOVERY": &f.Discovery} {
-		if v := env(key); v != "" {
+		if v := env(key); v != "" && !(again && key == "LB_DISCOVERY" && *to != "") {
 			*to = v
 		}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -39,6 +39,43 @@
 	}
 }
 
+// Read again, the file's discovery comes before that of the environment, and what needs a restart is named.
+func TestReread(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(key string) string {
+		return map[string]string{"LB_DISCOVERY": "127.2.0.9:1", "LB_NAME": "n4"}[key]
+	}
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(good)
+	first, err := Read(path, env)
+	if err != nil || first.Discovery != "127.2.0.9:1" {
+		t.Fatal(first, err)
+	}
+	for _, tc := range []struct{ old, new, discovery, fixed string }{
+		{"", "", "127.2.0.1:8500", ""},
+		{`127.2.0.1:8500`, `127.2.0.7:8500`, "127.2.0.7:8500", ""},
+		{`"discovery":"127.2.0.1:8500",`, ``, "127.2.0.9:1", ""},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"1"`, "127.2.0.1:8500", ""},
+		{`"sockets":1024`, `"sockets":512`, "127.2.0.1:8500", "limits"},
+		{`"aim-ms":400`, `"aim-ms":300`, "127.2.0.1:8500", "settings"},
+		{`"give-up-ms":1500`, `"give-up-ms":900`, "127.2.0.1:8500", "settings"},
+		{`127.0.0.4:8080`, `127.0.0.4:8081`, "127.2.0.1:8500", "listen"},
+	} {
+		write(strings.Replace(good, tc.old, tc.new, 1))
+		next, err := Reread(path, env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fixed := strings.Join(first.Fixed(next), ","); next.Discovery != tc.discovery || fixed != tc.fixed {
+			t.Errorf("%s: discovery %s, fixed %q", tc.new, next.Discovery, fixed)
+		}
+	}
+}
+
 // What was expected is said in the file's terms.
 func TestWanted(t *testing.T) {
 	for _, tc := range []struct{ old, new, want string }{
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -18,14 +18,15 @@
 const (
 	longestLine = 8 << 10
 	lifeSign    = time.Second // the desk says so often that it is there
-	patience    = 3           // signs of life missed until another connection is opened beside
+	patience    = 2           // signs of life missed until another connection is opened beside
 	pause       = 4           // part of a sign of life: between two connections that fail
 )
 
 // Desk keeps one followed connection, and a second one only while the first is silent. Votes go out on the one
 // that has spoken.
 type Desk struct {
-	address string
+	address string // of Run; Move sends it another
+	moved   chan string
 	wait    time.Duration // for the answer to a vote
 	sign    time.Duration // between two signs of life
 	told    func(logic.Event)
@@ -41,35 +42,49 @@
 
 // New makes a desk at address; a vote's answer is waited for as long as wait.
 func New(address string, wait logic.Millis, told func(logic.Event), log logrus.FieldLogger) *Desk {
-	d := &Desk{address: address, wait: clock.Span(wait), sign: lifeSign, told: told, log: log}
+	d := &Desk{address: address, moved: make(chan string), wait: clock.Span(wait), sign: lifeSign, told: told, log: log}
 	if d.wait <= 0 {
 		d.wait = lifeSign
 	}
 	return d
 }
 
+// Move says that the desk is at another address from now on.
+func (d *Desk) Move(ctx context.Context, address string) {
+	select {
+	case d.moved <- address:
+	case <-ctx.Done():
+	}
+}
+
 // Run keeps the connection until ctx ends. Danger: what was told while no connection stood is not told again. So
-// a silent one is given up only once the next one speaks, and never are there more than two.
+// a silent one, or one at an address that was left, is given up only once the next one speaks; never are there more
+// than two, but for one on which the fate of a vote is still out.
 func (d *Desk) Run(ctx context.Context) {
 	var now, next *link
 	for ctx.Err() == nil {
-		if now == nil && next == nil {
+		wait := patience * d.sign
+		if next == nil && (now == nil || now.address != d.address) {
 			if next = d.dial(ctx); next == nil {
-				d.quiet(true)
-				sleep(ctx, d.sign/pause)
-				continue
+				d.quiet(now == nil || d.silent)
+				wait = d.sign / pause
 			}
 		}
-		silence := time.NewTimer(patience * d.sign)
+		over := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-		case <-now.spoken():
-			d.quiet(false)
+		case d.address = <-d.moved:
 			next.close()
 			next = nil
+		case <-now.spoken():
+			d.quiet(false)
+			if now.address == d.address { // else the next one is there for another reason than its silence
+				next.close()
+				next = nil
+			}
 		case <-next.spoken():
 			d.quiet(false)
-			now.close()
+			now.retire()
 			now, next = next, nil
 		case <-now.gone():
 			now.rest(ctx)
@@ -77,12 +92,14 @@
 		case <-next.gone():
 			next.rest(ctx)
 			next = nil
-		case <-silence.C:
-			d.quiet(true)
-			next.close()
-			next = d.dial(ctx)
+		case <-over.C:
+			if wait == patience*d.sign {
+				d.quiet(true)
+				next.close()
+				next = d.dial(ctx)
+			}
 		}
-		silence.Stop()
+		over.Stop()
 	}
 	now.close()
 	next.close()
@@ -99,12 +116,6 @@
 	d.silent = silent
 }
 
-func (d *Desk) unreadable(err error) {
-	if d.causes.New("unreadable") {
-		d.log.WithError(err).Warn("desk unreadable")
-	}
-}
-
 func sleep(ctx context.Context, span time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -126,7 +137,7 @@
 	if err != nil {
 		return nil
 	}
-	l := &link{desk: d, conn: conn, since: time.Now(), follow: d.nextID(), spoke: make(chan struct{}, 1),
+	l := &link{desk: d, address: d.address, conn: conn, since: time.Now(), follow: d.nextID(), spoke: make(chan struct{}, 1),
 		ended: make(chan struct{}), open: map[uint64]*time.Timer{}}
 	d.mu.Lock()
 	d.number++
@@ -154,16 +165,18 @@
 
 // link is one connection; its reader owns it. All methods but read take a nil link as one that never speaks.
 type link struct {
-	desk   *Desk
-	conn   net.Conn
-	number int
-	since  time.Time
-	follow uint64        // the call's id
-	spoke  chan struct{} // something came
-	ended  chan struct{} // closed when the reader has ended
+	desk    *Desk
+	address string
+	conn    net.Conn
+	number  int
+	since   time.Time
+	follow  uint64        // the call's id
+	spoke   chan struct{} // something came
+	ended   chan struct{} // closed when the reader has ended
 
 	mu   sync.Mutex
 	open map[uint64]*time.Timer // votes without an answer; the answer, its timer or the end empties it
+	last bool                   // to be closed when none is open
 }
 
 func (l *link) spoken() <-chan struct{} {
@@ -187,6 +200,18 @@
 	}
 }
 
+// retire makes the reader end as soon as the fate of every vote is known.
+func (l *link) retire() {
+	if l != nil {
+		l.mu.Lock()
+		l.last = true
+		if len(l.open) == 0 {
+			l.conn.Close()
+		}
+		l.mu.Unlock()
+	}
+}
+
 // rest waits after the end of a link that stood for less than a sign of life, so that ends don't follow at once.
 func (l *link) rest(ctx context.Context) {
 	if time.Since(l.since) < l.desk.sign {
@@ -230,7 +255,9 @@
 	timer, waits := l.open[id]
 	if waits {
 		timer.Stop()
-		delete(l.open, id)
+		if delete(l.open, id); l.last && len(l.open) == 0 {
+			l.conn.Close()
+		}
 	}
 	return waits
 }
@@ -263,8 +290,7 @@
 func (l *link) take(text []byte) bool {
 	var in line
 	if err := json.Unmarshal(text, &in); err != nil {
-		l.desk.unreadable(err)
-		return false
+		return l.legible(err)
 	}
 	first := l.speaks()
 	select {
@@ -274,23 +300,33 @@
 	switch {
 	case in.ID == nil:
 		event, err := in.notice()
-		switch {
-		case err != nil:
-			l.desk.unreadable(err)
-			return false
-		case event != nil && first:
+		if event != nil && err == nil && first {
 			l.desk.told(event)
 		}
-	case *in.ID != l.follow:
-		fate := in.fate()
-		if !l.waits(*in.ID) { // too late to be the fate, but what it tells counts as told
-			if fate.ToVote = false; fate.VoteFate != logic.VoteOK || !first {
-				return true
-			}
-		}
-		l.desk.told(fate)
+		return l.legible(err)
+	case *in.ID == l.follow:
+		return l.legible(in.accepted())
 	}
-	return true
+	fate, err := in.fate()
+	switch waits := l.waits(*in.ID); {
+	case waits && !first && fate.VoteFate == logic.VoteOK:
+		// Danger: it tells an older state than the newer line may have told. As it may have counted, it goes out again.
+		fate = logic.StageNews{ToVote: true, VoteFate: logic.VoteTimeout}
+	case !waits && first && fate.VoteFate == logic.VoteOK:
+		fate.ToVote = false // too late to be the fate, but what it tells counts as told
+	case !waits:
+		return l.legible(err)
+	}
+	l.desk.told(fate)
+	return l.legible(err)
+}
+
+// legible tells whether the connection is good for more.
+func (l *link) legible(err error) bool {
+	if err != nil && l.desk.causes.New("unreadable") {
+		l.desk.log.WithError(err).Warn("desk unreadable")
+	}
+	return err == nil
 }
 
 // speaks makes this link the one that votes go to, unless a newer one has spoken. Danger: told by both, older
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -258,3 +258,47 @@
 		t.Error("an older connection's news pass")
 	}
 }
+
+// Moved, the desk is followed at the next address before the first one is left; a vote that is still out there keeps
+// its fate, and older news from there is not told any more.
+func TestMove(t *testing.T) {
+	d, calls, told := start(t)
+	d.wait = time.Second
+	old := followed(t, calls, told)
+	awake(t, old)
+	d.Vote(logic.Vote{Build: 42, Verdict: logic.VoteOn})
+	vote := next(t, calls, "castBallot")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	d.Move(t.Context(), "127.0.0.1:1") // nothing there: the next move ends the tries
+	d.Move(t.Context(), l.Addr().String())
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	old.say(`{"method":"flag","params":{"host":"still"}}`)
+	if got := fmt.Sprint(wait(t, told)); !strings.Contains(got, "still") {
+		t.Errorf("the old address told %s", got)
+	}
+	fmt.Fprintln(c, `{"method":"stage","params":{"image":43,"ring":0,"progress":"testing","ceiling":0.1}}`)
+	if got, ok := wait(t, told).(logic.StageNews); !ok || got.Build != 43 {
+		t.Errorf("the new address told %v", got)
+	}
+	old.say(`{"method":"flag","params":{"host":"late"}}`)
+	vote.result(stage) // of build 42
+	if got := wait(t, told); got != (logic.StageNews{ToVote: true, VoteFate: logic.VoteTimeout}) {
+		t.Errorf("the vote's fate came as %v", got)
+	}
+	next(t, calls, "closed")
+	d.Vote(logic.Vote{Build: 43, Verdict: logic.VoteOn})
+	if text, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.Contains(text, "castBallot") {
+		t.Errorf("the vote went out as %q, %v", text, err)
+	}
+}
--- a/internal/desk/wire.go
+++ b/internal/desk/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"ottershed/logic"
@@ -42,8 +43,8 @@
 		return logic.StageNews{}, fmt.Errorf("stage: %w", err)
 	}
 	phase, ok := phases[in.Progress]
-	if !ok || in.Image == nil || in.Ceiling == nil {
-		return logic.StageNews{}, fmt.Errorf("stage: image, ceiling or progress %q missing or unknown", in.Progress)
+	if !ok || in.Image == nil || in.Ceiling == nil || *in.Ceiling < 0 || *in.Ceiling > 1 || in.Lag < 0 || in.Ring < 0 {
+		return logic.StageNews{}, fmt.Errorf("stage: image, ceiling or progress %q missing or unknown, or a figure out of range", in.Progress)
 	}
 	return logic.StageNews{Age: in.Lag, Build: logic.Build(*in.Image), Phase: phase, Cap: *in.Ceiling,
 		Stage: in.Ring}, nil
@@ -64,6 +65,8 @@
 // notice reads what the desk tells unasked; nil for a sign of life and for kinds that we don't know.
 func (l *line) notice() (logic.Event, error) {
 	switch l.Method {
+	case "":
+		return nil, errors.New("neither an answer nor a notice")
 	case "stage":
 		return DecodeStage(l.Params)
 	case "flag":
@@ -73,17 +76,27 @@
 }
 
 // fate reads the answer to a vote. What can't be read may have counted.
-func (l *line) fate() logic.StageNews {
+func (l *line) fate() (logic.StageNews, error) {
 	if l.Error != nil {
 		if fate, ok := fates[l.Error.Message]; ok {
-			return logic.StageNews{ToVote: true, VoteFate: fate}
+			return logic.StageNews{ToVote: true, VoteFate: fate}, nil
 		}
+		return logic.StageNews{ToVote: true, VoteFate: logic.VoteTimeout}, fmt.Errorf("answer: error %q is not known", l.Error.Message)
 	}
-	if news, err := DecodeStage(l.Result); err == nil {
-		news.ToVote = true
-		return news
+	news, err := DecodeStage(l.Result)
+	if err != nil {
+		return logic.StageNews{ToVote: true, VoteFate: logic.VoteTimeout}, err
 	}
-	return logic.StageNews{ToVote: true, VoteFate: logic.VoteTimeout}
+	news.ToVote = true
+	return news, nil
+}
+
+// accepted reads the answer to the call that asks to follow.
+func (l *line) accepted() error {
+	if string(l.Result) != "true" {
+		return errors.New("answer: the desk does not let us follow")
+	}
+	return nil
 }
 
 func encodeFollow(id uint64) []byte {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -117,3 +117,68 @@
 		})
 	}
 }
+
+// Moved, the list is asked for whole at the next address; until that answers the first one is watched on, and not heard
+// any more then. A part of an answer holds nothing up.
+func TestMove(t *testing.T) {
+	told := make(chan marshal.List, 100)
+	agent := func(first string) (s *httptest.Server, calls, answers chan string) {
+		calls, answers = make(chan string, 100), make(chan string, 100)
+		answers <- first
+		s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls <- r.URL.RawQuery
+			select {
+			case a := <-answers:
+				if a == "part" {
+					w.Header().Set("Content-Length", "100")
+					io.WriteString(w, `{"index":`)
+					w.(http.Flusher).Flush()
+					<-r.Context().Done()
+				}
+				io.WriteString(w, a)
+			case <-r.Context().Done():
+				calls <- "left"
+			}
+		}))
+		t.Cleanup(s.Close)
+		return s, calls, answers
+	}
+	one, oneCalls, oneAnswers := agent(list(41, true, "Ready"))
+	two, twoCalls, twoAnswers := agent("part")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := New(one.Listener.Addr().String(), func(l marshal.List) { told <- l }, log)
+	f.rest = 20 * time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { f.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	expect := func(stamp int64) {
+		t.Helper()
+		select {
+		case l := <-told:
+			if l.Stamp != stamp {
+				t.Errorf("list %d told, want %d", l.Stamp, stamp)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("list %d not told", stamp)
+		}
+	}
+	expect(41)
+	<-oneCalls
+	f.Move(ctx, "127.0.0.1:1") // nothing there
+	f.Move(ctx, two.Listener.Addr().String())
+	<-twoCalls
+	oneAnswers <- list(42, false, "Terminating")
+	expect(42)
+	if got := <-twoCalls; got != "" { // after the part of an answer
+		t.Errorf("asked the next agent for %q first", got)
+	}
+	twoAnswers <- list(7, true, "Ready")
+	expect(7)
+	if got := <-twoCalls; !strings.HasPrefix(got, "since=7&") {
+		t.Errorf("then for %q", got)
+	}
+	for got := ""; got != "left"; got = <-oneCalls {
+	}
+}
