Answers that can't be read leave their node in use; hits with no hope left answered at once

Cause: conn.exchange named every unreadable answer Broken, on which learn strikes the node, and waited for the rest of a part until the client's time was over (nodes write an answer in one piece). Now a further ending, Spoilt: may have run, node alive; the rest of an answer has a quarter of the connect timeout. Table of what comes spoilt in nodes_test. Load figures that are not finite or are below zero are left out. Covers whatever spoils answers between nodes and marshals. Could hurt where a dying node keeps sending parts: it is preferred less by its failures only.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -297,11 +297,51 @@
 	}
 }
 
-// With too many connections the longest idle one is closed, never one that has carried nothing yet, and hits beyond are
-// bounced.
+// While hundreds connect and say nothing, usual clients keep their connections, and new ones are served.
+func TestSilentClients(t *testing.T) {
+	f, m, address := start(t, 16)
+	ask := func(c *client) {
+		t.Helper()
+		c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
+		select {
+		case h := <-m.hits:
+			h.Answer(marshal.Answer{Kind: marshal.Errored})
+		case <-time.After(owed):
+			t.Fatal("no hit came")
+		}
+		if res, _ := c.answer(); res.StatusCode != 500 {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+	for range 10 {
+		dial(t, address)
+	}
+	for f.gate.count() < 10 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(silence) // they are past their moment
+	usual := []*client{dial(t, address), dial(t, address), dial(t, address), dial(t, address)}
+	for _, c := range usual {
+		ask(c)
+	}
+	for range 10 {
+		dial(t, address)
+	}
+	for _, c := range append(usual, dial(t, address)) {
+		ask(c)
+	}
+	for range 100 {
+		dial(t, address)
+	}
+	began := time.Now()
+	if ask(dial(t, address)); time.Since(began) > inTime {
+		t.Errorf("served after %v", time.Since(began))
+	}
+}
+
+// With too many connections the longest idle one is closed, and hits beyond are bounced.
 func TestFull(t *testing.T) {
-	f, m, address := start(t, 3)
-	fresh := dial(t, address)
+	f, m, address := start(t, 2)
 	clients := []*client{dial(t, address), dial(t, address)}
 	for _, c := range clients {
 		c.send("GET /up", "", "")
@@ -319,21 +359,17 @@
 	clients[1].send("GET /read/2", "X-Time-Left: 1\r\n", "")
 	h2 := <-m.hits
 	over := dial(t, address)
-	for f.gate.count() < 4 {
+	for f.gate.count() < 3 {
 		time.Sleep(time.Millisecond)
 	}
 	over.send("GET /read/3", "X-Time-Left: 1\r\n", "")
 	if res, _ := over.answer(); res.StatusCode != 503 || !res.Close || res.Header.Get("Retry-After") != "0.500" {
 		t.Errorf("beyond: status %d, %v", res.StatusCode, res.Header)
 	}
-	for f.gate.count() > 3 {
-		time.Sleep(time.Millisecond)
-	}
-	fresh.send("GET /read/4", "X-Time-Left: 1\r\n", "")
-	for _, h := range []*marshal.Hit{h, h2, <-m.hits} {
+	for _, h := range []*marshal.Hit{h, h2} {
 		h.Answer(marshal.Answer{Kind: marshal.Bounced})
 	}
-	for _, c := range append(clients[1:], fresh) {
+	for _, c := range clients[1:] {
 		if res, _ := c.answer(); res.StatusCode != 503 {
 			t.Errorf("status %d", res.StatusCode)
 		}
--- a/internal/nodes/conn.go
+++ b/internal/nodes/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -38,16 +40,22 @@
 
 // exchange writes the request and reads the whole answer. written tells if the last byte went out, keep if the
 // connection is good for another request.
-func (c *conn) exchange(f marshal.Forward, now logic.Millis) (end marshal.End, written, keep bool) {
+func (c *conn) exchange(ctx context.Context, f marshal.Forward, now logic.Millis, until time.Time, rest time.Duration) (
+	end marshal.End, written, keep bool) {
 	if _, err := c.Write(encode(f.Request, f.Until-now)); err != nil {
 		return marshal.End{Ending: logic.Unreachable}, false, false
 	}
 	c.left.N = 2 * longest
-	res, body, err := c.answer()
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	res, body, begun, err := c.answer(ctx, until, rest)
+	switch late := errors.Is(err, os.ErrDeadlineExceeded); {
+	case err == nil:
+	case late && !begun:
 		return marshal.End{Ending: logic.TimedOut}, true, false
-	case err != nil:
+	// Danger: an answer that can't be read says that the node is there. Taken for a broken connection it would keep hits
+	// from a node in good health.
+	case late, c.left.N == 0, begun && !ended(err):
+		return marshal.End{Ending: logic.Spoilt}, true, false
+	default:
 		return marshal.End{Ending: logic.Broken}, true, false
 	}
 	end.Ending, end.Load = ending(res), load(res.Header.Get("X-Backend-Load"))
@@ -57,21 +65,48 @@
 	return end, true, !res.Close && c.r.Buffered() == 0
 }
 
-func (c *conn) answer() (*http.Response, []byte, error) {
+// ended tells whether the other side has ended the connection.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE)
+}
+
+// answer reads answers up to the last one; begun tells if a part of it has come. Danger: one that stays a part holds its
+// hit until the client's time is over; nodes send answers in one piece, so the rest of it has rest to come.
+func (c *conn) answer(ctx context.Context, until time.Time, rest time.Duration) (
+	res *http.Response, body []byte, begun bool, err error) {
 	for {
-		res, err := http.ReadResponse(c.r, nil)
-		if err != nil {
-			return nil, nil, err
+		c.wait(ctx, until)
+		if _, err := c.r.Peek(1); err != nil {
+			return nil, nil, false, err
+		}
+		if soon := time.Now().Add(rest); soon.Before(until) {
+			c.wait(ctx, soon)
 		}
-		if res.StatusCode < http.StatusOK && res.StatusCode != http.StatusSwitchingProtocols {
+		if res, err = http.ReadResponse(c.r, nil); err != nil {
+			return nil, nil, true, err
+		}
+		switch {
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, nil, true, errors.New("answer changes the protocol")
+		case res.StatusCode < http.StatusOK:
 			continue // not the answer yet
 		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, longest+1))
-		res.Body.Close()
-		if err == nil && len(body) > longest {
+		if res.ContentLength <= longest {
+			body, err = io.ReadAll(io.LimitReader(res.Body, longest+1))
+		}
+		if err == nil && max(res.ContentLength, int64(len(body))) > longest {
 			err = errors.New("answer too long")
 		}
-		return res, body, err
+		return res, body, true, err // what is left of the body goes with the connection
+	}
+}
+
+// wait has reading end at a time, or at once when ctx is over.
+func (c *conn) wait(ctx context.Context, until time.Time) {
+	c.SetReadDeadline(until)
+	if ctx.Err() != nil {
+		c.SetDeadline(time.Unix(1, 0))
 	}
 }
 
@@ -102,7 +137,7 @@
 		name, val, _ := strings.Cut(pair, "=")
 		v, err := strconv.ParseFloat(val, 64)
 		switch {
-		case err != nil:
+		case err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0: // no figure
 		case name == "util" || name == "cpu":
 			l.Util = v
 		case name == "queue" || name == "waiting":
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -24,6 +24,7 @@
 	clock   *clock.Clock
 	log     logrus.FieldLogger
 	connect time.Duration
+	rest    time.Duration // for the rest of an answer that has begun
 	idle    time.Duration // an idle connection is retired by then, before the node closes it
 	most    int           // connections held
 
@@ -34,6 +35,9 @@
 	over  bool                   // Run has ended
 }
 
+// restPart is of the time in which a connection must come up: an answer that has begun crosses the same network.
+const restPart = 4
+
 type node struct {
 	address string
 	idle    []*conn   // the last used one at the end
@@ -42,7 +46,7 @@
 
 // NewPool makes an empty pool that holds so many connections at most.
 func NewPool(c *clock.Clock, n settings.Network, most int, log logrus.FieldLogger) *Pool {
-	return &Pool{clock: c, connect: clock.Span(n.ConnectTimeout), idle: clock.Span(n.IdleAfter) / 2, most: most,
+	return &Pool{clock: c, connect: clock.Span(n.ConnectTimeout), rest: clock.Span(n.ConnectTimeout) / restPart, idle: clock.Span(n.IdleAfter) / 2, most: most,
 		log: log, nodes: map[logic.NodeID]*node{}}
 }
 
@@ -121,7 +125,7 @@
 	n := p.nodes[f.Node]
 	switch {
 	case n == nil || n.address != f.Address || ending == logic.NeverSent:
-	case ending <= logic.NodeFull:
+	case ending <= logic.NodeFull || ending == logic.Spoilt:
 		n.heard = time.Now()
 	case n.heard.Before(began):
 		p.closeAll(n.idle)
@@ -232,14 +236,14 @@
 		}
 		c.SetDeadline(until)
 		stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-		end, written, keep := c.exchange(f, p.clock.Now())
+		end, written, keep := c.exchange(ctx, f, p.clock.Now(), until, p.rest)
 		if stop() && keep {
 			p.give(f.Node, c)
 		} else {
 			p.drop(c)
 		}
 		switch {
-		case end.Ending <= logic.NodeFull: // the node has answered
+		case end.Ending <= logic.NodeFull || end.Ending == logic.Spoilt && ctx.Err() == nil: // the node has answered
 		case !written && kept && ctx.Err() == nil && time.Now().Before(until):
 			continue // the kept connection was dead and nothing has run: a new one
 		case !written && ctx.Err() != nil:
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -139,13 +139,23 @@
 		"503 that may have run":  {say("HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n"), logic.NodeError, 1},
 		"500 that says it didn't": {say("HTTP/1.1 500 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"),
 			logic.NodeError, 1},
-		"reset":            {reset, logic.Broken, 0},
-		"closed":           {func(c net.Conn, _ *http.Request) { c.Close() }, logic.Broken, 0},
-		"cut short":        {func(c net.Conn, _ *http.Request) { say(ok[:len(ok)-1])(c, nil); c.Close() }, logic.Broken, 0},
-		"no HTTP":          {say("what?\r\n\r\n"), logic.Broken, 0},
-		"body too long":    {say("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), logic.Broken, 0},
-		"headers too long": {say("HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 3*longest)), logic.Broken, 0},
-		"no answer":        {hold, logic.TimedOut, 0},
+		"reset":             {reset, logic.Broken, 0},
+		"closed":            {func(c net.Conn, _ *http.Request) { c.Close() }, logic.Broken, 0},
+		"cut short":         {func(c net.Conn, _ *http.Request) { say(ok[:len(ok)-1])(c, nil); c.Close() }, logic.Broken, 0},
+		"no HTTP":           {say("what?\r\n\r\n"), logic.Spoilt, 0},
+		"noise":             {say("\x16\x03\x01\x00\xff\n\n"), logic.Spoilt, 0},
+		"half a head":       {say("HTTP/1.1 200 OK\r\nContent-Le"), logic.Spoilt, 0},
+		"half a body":       {say(ok[:len(ok)-1]), logic.Spoilt, 0},
+		"a length too long": {say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhi"), logic.Spoilt, 0},
+		"3 GB":              {say("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhi"), logic.Spoilt, 0},
+		"two lengths":       {say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\nhi"), logic.Spoilt, 0},
+		"a length below 0":  {say("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi"), logic.Spoilt, 0},
+		"no length":         {say("HTTP/1.1 200 OK\r\n\r\nhi"), logic.Spoilt, 0},
+		"another protocol":  {say("HTTP/1.1 101 Go\r\nUpgrade: x\r\n\r\n"), logic.Spoilt, 0},
+		"body too long":     {say("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), logic.Spoilt, 0},
+		"headers too long":  {say("HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 3*longest)), logic.Spoilt, 0},
+		"twice":             {say(ok + ok), logic.Delivered, 0},
+		"no answer":         {hold, logic.TimedOut, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, p := newStand(t, tc.answer), newPool(4)
@@ -185,6 +195,16 @@
 	}
 }
 
+// Figures of a load report that are none are left out.
+func TestLoad(t *testing.T) {
+	for text, want := range map[string]logic.Load{"util=0.5,queue=NaN": {Util: 0.5, Queue: -1}, "util=Inf,queue=3": {Util: -1, Queue: 3},
+		"util=-Inf,queue=-3": {Util: -1, Queue: -1}, "util=1e999,;;,=,queue": {Util: -1, Queue: -1}} {
+		if got := load(text); *got != want {
+			t.Errorf("%q: %+v, want %+v", text, *got, want)
+		}
+	}
+}
+
 // What is called off ends as recalled, with its connection closed before that is told; so does nothing twice.
 func TestRecall(t *testing.T) {
 	came, held := make(chan struct{}), make(chan struct{})
--- a/logic/api.go
+++ b/logic/api.go
@@ -131,6 +131,7 @@
 	Broken      // may have run
 	Recalled    // may have run
 	NeverSent
+	Spoilt // an answer came that can't be read; may have run
 )
 
 // VoteFate is how the desk took a vote.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -160,9 +160,8 @@
 func (m *Marshal) take(e HitTaken) {
 	// Danger: drawn anew for each hit, half of those meant for grn meet an allowance that is not filled yet.
 	_, m.turn = math.Modf(m.turn + math.Phi)
-	h := &hit{id: e.Hit, taken: m.now, ends: m.now + e.TTL, place: m.turn}
-	h.group = cmp.Or(m.groups[e.Group], m.pool) // not in the settings: the most careful effect
-	h.tenantSlow = m.tenant(e.Tenant)
+	h := &hit{id: e.Hit, taken: m.now, ends: m.now + e.TTL, place: m.turn, tenantSlow: m.tenant(e.Tenant),
+		group: cmp.Or(m.groups[e.Group], m.pool)} // not in the settings: the most careful effect
 	h.key = crc32.ChecksumIEEE([]byte(e.Key)) | uint32(min(1, len(e.Key)))
 	if m.set.KeysStay && h.key != 0 { // a slice of the keys that grows with the stage: few ever change sides
 		h.place = float64(h.key) / (1 << 32)
@@ -185,9 +184,9 @@
 	}
 }
 
-// giveUp gives the final answer at once: a bounce where that is harmless, else an error.
+// giveUp gives the final answer at once: a bounce where trying again is harmless, else an error.
 func (m *Marshal) giveUp(h *hit) {
-	if m.mayBounce(h) {
+	if !h.ran() || h.Effect == Repeatable || h.Effect == Tagged && h.Scope == ScopeAll {
 		m.do(Bounce{Hit: h.id, ComeBack: min(m.set.MaxComeBack, h.Target*patience)})
 	} else {
 		m.do(Fail{Hit: h.id})
@@ -195,10 +194,14 @@
 	m.finish(h)
 }
 
-// mayBounce tells whether a client may be told that trying again is harmless.
-func (m *Marshal) mayBounce(h *hit) bool {
-	ran := slices.ContainsFunc(h.forwards, func(f forward) bool { return f.ran })
-	return !ran || h.Effect == Repeatable || h.Effect == Tagged && h.Scope == ScopeAll
+// over tells whether a waiting hit is given up: nothing can come of it any more, or its part of the target
+// latency is over. Danger: turned away late though no node saw it, its client has lost the time to ask again.
+func (m *Marshal) over(h *hit, part float64) bool {
+	last := min(h.taken+h.Target*part, h.ends-2*m.period)
+	if !h.ran() {
+		last = min(last, (h.taken+h.ends)/2-m.period)
+	}
+	return m.now >= last || len(h.forwards) >= m.set.MaxForwards || h.ran() && h.Effect == Mutating
 }
 
 // mayGo is the gate: whether this hit may go to this node now. All rules on forwards are kept here.
@@ -288,12 +291,11 @@
 
 // learn keeps what an outcome says of a node's health, by symptom.
 func (m *Marshal) learn(n *node, e ForwardEnded) {
-	if e.Ending <= NodeFull {
+	if e.Ending <= NodeFull || e.Ending == Spoilt { // Danger: struck for that, all nodes would be left in turn
 		m.answered(n)
 	}
 
-	// A node that refuses at once has no connection left. Danger: held idle by hundreds they shut the others
-	// out.
+	// Danger: where a node refuses at once it has no connection left; idle ones of hundreds shut others out.
 	m.refused -= freshness * m.refused
 	if e.Ending == Unreachable && e.After < m.least*patience {
 		m.refused += freshness
@@ -313,7 +315,7 @@
 	case NodeFull: // work turned away loads a node too: it gets a rest
 		n.limit = max(freshness, min(n.limit, float64(n.out+1))*(1-freshness))
 		n.shut = max(n.shut, m.now+n.ans)
-	case NodeError, TimedOut:
+	case NodeError, TimedOut, Spoilt:
 		n.fail += freshness * (1 - n.fail)
 		if e.Ending == TimedOut { // Danger: a node may go on with work that its client has left
 			m.paceLimit(n, max(e.After, n.ans))
@@ -364,7 +366,7 @@
 		for _, h := range m.lines[i] {
 			switch {
 			case h.done || m.forward(h):
-			case m.now >= min(h.taken+h.Target*wait, h.ends-2*m.period):
+			case m.over(h, wait):
 				m.giveUp(h)
 			default:
 				left = append(left, h)
@@ -671,9 +673,8 @@
 // left out: trouble of its own. The desk can't leave it out: its counts weigh at most one outcome a node.
 func (m *Marshal) failing() (worst, seen float64) {
 	for _, g := range append(m.order, m.pool) {
-		blue, grn := g.gone, stats.Count{} // Danger: without those that left, nothing is worse once blue is gone
-		var each []stats.Count             // of grn's nodes, the worst first
-		nodes := 0.0
+		blue, grn, nodes := g.gone, stats.Count{}, 0.0 // Danger: no outcomes of blue would be left once it is gone
+		var each []stats.Count                         // of grn's nodes, the worst first
 		for _, n := range m.list {
 			if t := n.tally[g.index]; n.Build < m.news.Build {
 				blue.Add(t, 1)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -726,3 +726,54 @@
 		}
 	}
 }
+
+// An answer that can't be read leaves its node in use, and its hit is sent again only where it may run twice.
+func TestSpoilt(t *testing.T) {
+	for _, tc := range []struct {
+		group    GroupName
+		forwards int
+		last     string
+	}{{"read", 2, ""}, {"mark", 2, ""}, {"pay", 1, "fail"}} {
+		r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+		h, id := r.hit(tc.group, "")
+		r.end(h, 0, Spoilt, 50)
+		if _, last := r.answers(h); last != tc.last || (r.sent(h, 1) != "") != (tc.forwards == 2) {
+			t.Errorf("%s: answered %q, then sent to %q", tc.group, last, r.sent(h, 1))
+		}
+		if n := r.m.nodes[id]; n.strikes != 0 || n.shut > r.now || r.m.troubleAt == r.now || r.m.warmth(n) < 1 {
+			t.Errorf("%s: strikes %d, shut for %v, warmth %v", tc.group, n.strikes, n.shut-r.now, r.m.warmth(n))
+		}
+	}
+}
+
+// What nothing can come of is answered at once; what no node saw, by half of its time.
+func TestOver(t *testing.T) {
+	for name, tc := range map[string]struct {
+		group GroupName
+		how   Ending
+		by    Millis
+		last  string
+	}{
+		"may have run":           {"pay", Broken, 0, "fail"},
+		"has run, may run again": {"read", Broken, 400, "bounce"},
+		"no node saw it":         {"read", Unreachable, 250, "bounce"},
+		"nor what may run once":  {"pay", Unreachable, 250, "bounce"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+			r.next++
+			r.do(HitTaken{Hit: r.next, Group: tc.group, TTL: 500})
+			from := r.now
+			for _, n := range r.m.list {
+				n.shut = r.now + 5000 // there is no other
+			}
+			r.end(r.next, 0, tc.how, 1)
+			for r.now-from < tc.by {
+				r.wait(r.m.period)
+			}
+			if n, last := r.answers(r.next); n != 1 || last != tc.last {
+				t.Errorf("%d answers by %v ms, the last a %q", n, tc.by, last)
+			}
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -100,6 +100,11 @@
 	lookAt      Millis
 }
 
+// ran tells whether a forward of the hit may have run.
+func (h *hit) ran() bool {
+	return slices.ContainsFunc(h.forwards, func(f forward) bool { return f.ran })
+}
+
 type forward struct {
 	*node
 	at              Millis
