Single breaks strike no node where breaks are usual; idle connections as long as nodes keep them

Counted by a probe that printed each ending by node: 690 breaks, 398 of them within 5 ms on kept connections that the nodes had given up early without a word. Lines at fault: learn (one break, one strike), Pool.take (half of the settings' idle time, whatever nodes do). Now misses in a row without an answer between strike once they are as unlikely as the silence that does, by the share of forwards that breaks anyway; one that doesn't come up in its time strikes as before. Where longer idle connections break they are used for half as long. Covers resets by anything on the way. A single trial node is left out while one of blue fails half as often (failing).

--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -25,10 +25,11 @@
 	log     logrus.FieldLogger
 	connect time.Duration
 	rest    time.Duration // for the rest of an answer that has begun
-	idle    time.Duration // an idle connection is retired by then, before the node closes it
+	longest time.Duration // an idle connection is retired by then, before the node closes it
 	most    int           // connections held
 
 	mu    sync.Mutex
+	idle  time.Duration          // the same as nodes are found to keep it, see reused
 	nodes map[logic.NodeID]*node // those that take hits; the list of nodes empties it
 	held  int                    // connections that stand or come up
 	short bool                   // for want of descriptors, as last logged
@@ -46,8 +47,9 @@
 
 // NewPool makes an empty pool that holds so many connections at most.
 func NewPool(c *clock.Clock, n settings.Network, most int, log logrus.FieldLogger) *Pool {
-	return &Pool{clock: c, connect: clock.Span(n.ConnectTimeout), rest: clock.Span(n.ConnectTimeout) / restPart, idle: clock.Span(n.IdleAfter) / 2, most: most,
-		log: log, nodes: map[logic.NodeID]*node{}}
+	longest := clock.Span(n.IdleAfter) / 2
+	return &Pool{clock: c, connect: clock.Span(n.ConnectTimeout), rest: clock.Span(n.ConnectTimeout) / restPart, most: most,
+		longest: longest, idle: longest, log: log, nodes: map[logic.NodeID]*node{}}
 }
 
 // Moved says that a node takes hits at this address now, nowhere if it is empty. Danger: a forward whose connection
@@ -104,6 +106,21 @@
 	return nil
 }
 
+// reused tells how a connection did that had been idle for so long. Danger: a node may give up idle ones sooner than it
+// is said to, and without a word; what is written to those may have run for all that is known. So where the longer idle
+// ones break they are retired in half of the time, and while they hold in more of it again.
+func (p *Pool) reused(idle time.Duration, held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case idle < p.idle/2: // breaks for another reason
+	case held:
+		p.idle = min(p.longest, p.idle+p.idle/8)
+	default:
+		p.idle = max(p.idle/2, p.longest/256)
+	}
+}
+
 // give takes a connection back that is good for another forward.
 func (p *Pool) give(id logic.NodeID, c *conn) {
 	c.since = time.Now()
@@ -179,7 +196,7 @@
 // Run retires idle connections until ctx ends, and then all of them. Danger: a forward may be out still, its hit long
 // answered; what it gives back later would be nobody's.
 func (p *Pool) Run(ctx context.Context) {
-	tick := time.NewTicker(p.idle / 4)
+	tick := time.NewTicker(p.longest / 4)
 	defer tick.Stop()
 	for {
 		select {
@@ -196,6 +213,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.over = all
+	p.idle = min(p.longest, p.idle+p.idle/8) // where none is used again none tells
 	for _, n := range p.nodes {
 		i := 0
 		for i < len(n.idle) && (all || time.Since(n.idle[i].since) >= p.idle) {
@@ -227,8 +245,10 @@
 	until := p.clock.Time(f.Until)
 	for {
 		c := p.take(f.Node, f.Address)
-		kept := c != nil
-		if !kept {
+		kept, idle := c != nil, time.Duration(0)
+		if kept {
+			idle = time.Since(c.since)
+		} else {
 			var ending logic.Ending
 			if c, ending = p.open(ctx, f, until); c == nil {
 				return marshal.End{Ending: ending}
@@ -237,6 +257,9 @@
 		c.SetDeadline(until)
 		stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 		end, written, keep := c.exchange(ctx, f, p.clock.Now(), until, p.rest)
+		if kept {
+			p.reused(idle, written && end.Ending != logic.Broken)
+		}
 		if stop() && keep {
 			p.give(f.Node, c)
 		} else {
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -380,3 +380,26 @@
 	defer p.mu.Unlock()
 	return p.held
 }
+
+// Where idle connections break at their next request they are used sooner or not at all; while they hold, longer again.
+// A break of one that was hardly idle says nothing of that.
+func TestReused(t *testing.T) {
+	p := newPool(4) // they are retired after a second
+	for _, tc := range []struct {
+		idle time.Duration
+		held bool
+		want time.Duration
+	}{{100 * time.Millisecond, false, time.Second}, {600 * time.Millisecond, false, time.Second / 2},
+		{300 * time.Millisecond, false, time.Second / 4}, {200 * time.Millisecond, true, 9 * time.Second / 32},
+		{100 * time.Millisecond, true, 9 * time.Second / 32}} {
+		if p.reused(tc.idle, tc.held); p.idle != tc.want {
+			t.Errorf("idle %v, held %v: now %v, want %v", tc.idle, tc.held, p.idle, tc.want)
+		}
+	}
+	for range 100 {
+		p.retire(false)
+	}
+	if p.idle != time.Second {
+		t.Errorf("with none used: %v", p.idle)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,7 @@
 // Package logic decides what a marshal does with every hit while a new build replaces the earlier one.
 //
-// Callers make one Marshal an instance with New and give it what happened, in order, through Handle, its
-// only entry point, which returns what is to be done then. It shares nothing, reads no clock. api.go has what
-// goes in and out, state.go what is kept. Grn is a build on trial, blue an earlier one. See docs/design.md.
+// Callers make one Marshal an instance with New and give it what happened, in order, through Handle, which
+// returns what is to be done. Types are in api.go, what is kept in state.go. Grn: on trial; blue: earlier.
 package logic
 
 import (
@@ -145,7 +144,7 @@
 }
 
 func (m *Marshal) answered(n *node) {
-	if n.since = m.now; n.strikes > 0 {
+	if n.since, n.misses = m.now, 0; n.strikes > 0 {
 		// Danger: out of reach it may have restarted, before the list tells: full traffic would push it over.
 		n.strikes, n.shut, n.coldAt = 0, 0, max(n.coldAt, m.now)
 	}
@@ -195,13 +194,10 @@
 }
 
 // over tells whether a waiting hit is given up: nothing can come of it any more, or its part of the target
-// latency is over. Danger: turned away late though no node saw it, its client has lost the time to ask again.
+// latency is over.
 func (m *Marshal) over(h *hit, part float64) bool {
-	last := min(h.taken+h.Target*part, h.ends-2*m.period)
-	if !h.ran() {
-		last = min(last, (h.taken+h.ends)/2-m.period)
-	}
-	return m.now >= last || len(h.forwards) >= m.set.MaxForwards || h.ran() && h.Effect == Mutating
+	return m.now >= min(h.taken+h.Target*part, h.ends-2*m.period) ||
+		len(h.forwards) >= m.set.MaxForwards || h.ran() && h.Effect == Mutating
 }
 
 // mayGo is the gate: whether this hit may go to this node now. All rules on forwards are kept here.
@@ -321,16 +317,22 @@
 			m.paceLimit(n, max(e.After, n.ans))
 		}
 	case Unreachable, Broken:
-		if m.now >= n.shut {
+		// Danger: connections may break on the way to sound nodes; struck for one each, they would all be left and
+		// come back cold. So misses in a row count as silence does, by the share that breaks anyway.
+		n.misses++
+		n.fail += freshness * (1 - n.fail)
+		gone := n.strikes > 0 || e.Ending == Unreachable && e.After >= m.least*patience ||
+			-math.Log(m.broken+tiny)*float64(n.misses) >= leaveHush
+		if m.broken += freshness * freshness; gone && m.now >= n.shut {
 			m.troubleAt = m.now // not by one silence: a build that slows all nodes brings it too
 			m.strike(n)
 		}
 	}
+	m.broken -= freshness * freshness * m.broken
 }
 
-// paceLimit lets the in-flight limit follow the shortest over the present answer time. All marshals together
-// hold at a node half a target latency of work, or a busy one what it was seen to do at once and a quarter.
-// Danger: grown unused, a limit lets a rush fill the nodes.
+// paceLimit lets the in-flight limit follow the shortest over the present answer time. All marshals hold at a
+// node half a target latency of work, or a quarter more than it did at once. Danger: it never grows unused.
 func (m *Marshal) paceLimit(n *node, after Millis) {
 	n.ans += freshness * (after - n.ans)
 	most := m.pool.Target / m.least / float64(m.set.Marshals) / slack
@@ -340,9 +342,8 @@
 	}
 }
 
-// paceAll limits what is out at all nodes while most answers of every tenant and path group take long for
-// their target. Danger: a thin marshal hears too seldom of each node, and one hit each of hundreds fills all
-// of them. All of them, for slowness of some hits is no lack of power.
+// paceAll limits what is out at all nodes while answers of every tenant and path group are long, for slowness
+// of some hits is no lack of power. Danger: a thin marshal hears too seldom of each node.
 func (m *Marshal) paceAll(h *hit, after Millis) {
 	slow, least := min(1, math.Floor(after/h.Target/patience)), 1.0
 	for _, s := range []*float64{&m.slow, h.slow, h.tenantSlow} {
@@ -499,8 +500,7 @@
 	m.consider()
 }
 
-// moveOff takes hits that may run again away from silent nodes. Danger: moved off at once, the hit that tries
-// a node out after its rest never brings it back.
+// moveOff takes hits that may run again off silent nodes, but not at once the one that tries a node out.
 func (m *Marshal) moveOff() {
 	for _, id := range slices.Sorted(maps.Keys(m.hits)) {
 		h, i := m.hits[id], len(m.hits[id].forwards)-1
@@ -586,13 +586,10 @@
 	if g == nil || !m.told || e.Build > m.news.Build || e.Count <= 0 {
 		return
 	}
-	// Danger: what nodes refuse or leave unanswered is no build's doing; the desk doesn't tell it from errors.
-	// So its failures count by the share of errors in the marshal's own, of which one may be chance.
+	// Danger: it counts what nodes refuse, too. So by the share of errors in our own; one may be chance.
 	counted, newest := stats.Count{Good: float64(e.Count - e.Failed)}, e.Build == m.news.Build
 	counted.Bad = float64(e.Failed) * max(0, m.failures.Bad-1) / (m.failures.N() + groupSize/4)
-	// Danger: trouble of nodes fails both builds, at times when one has more traffic than at others. So grn's
-	// counts meet as many of blue from the same period.
-	if !newest {
+	if !newest { // Danger: trouble of nodes fails both; so grn's counts meet as many of blue's, of the same time
 		g.blueNow = counted
 	} else if g.blueNow.N() > 0 {
 		g.counted[0].Add(g.blueNow, counted.N()/g.blueNow.N())
@@ -623,14 +620,12 @@
 	}
 }
 
-// enterBefore adds an outcome of either build to those that are judged against the time before the trial, for
-// a build that slows all nodes; by a wider gap.
+// enterBefore has an outcome of either build judged against the time before the trial, by a wider gap.
 func (m *Marshal) enterBefore(b *group, v, pace float64) {
 	if b == nil || pace == 0 || math.IsInf(v, 1) || !b.grn.Add(v/pace, groupSize) {
 		return
 	}
-	// Danger: under a build ten times slower groups fill so late that counting them loses seconds of hits. So
-	// each counts for as many gaps as it is slower by, within bounds: a rush makes some very slow ones, too.
+	// Danger: a very slow build fills groups late. So each counts for the gaps that it is slower by, bounded.
 	if m.now-m.troubleAt < m.set.WarmAfter || !b.slower(b.grn.Last, slowGap) {
 		b.rejects = 0
 	} else {
@@ -653,8 +648,7 @@
 	}
 }
 
-// slower tells whether outcomes are clearly slower than the last two groups of the earlier build. Danger:
-// against one, a group that was fast by chance sends a good build back.
+// slower tells whether outcomes are clearly slower than both of blue's last groups; one may be chance.
 func (g *group) slower(got []float64, wider float64) bool {
 	for _, blue := range [][]float64{g.blue.Before, g.blue.Last} {
 		if len(blue) == 0 || len(got) == 0 {
@@ -669,15 +663,17 @@
 }
 
 // failing is the strongest sign, in one path group or in all, that grn fails more often, by the same test on
-// good and bad, as a multiple of what proves it; and how much was seen. The worst quarter of several nodes is
-// left out: trouble of its own. The desk can't leave it out: its counts weigh at most one outcome a node.
+// good and bad, as a multiple of what proves it; and how much was seen. Not the worst quarter of nodes,
+// nor a single one where one of blue fails half as often: trouble of their own. The desk can not do that.
 func (m *Marshal) failing() (worst, seen float64) {
 	for _, g := range append(m.order, m.pool) {
-		blue, grn, nodes := g.gone, stats.Count{}, 0.0 // Danger: no outcomes of blue would be left once it is gone
-		var each []stats.Count                         // of grn's nodes, the worst first
+		blue, grn := g.gone, stats.Count{} // Danger: without those that left, nothing is worse once blue is gone
+		nodes, ill := 0.0, 0.0             // of grn; the share of failures at the worst one of blue
+		var each []stats.Count             // of grn's nodes, the worst first
 		for _, n := range m.list {
 			if t := n.tally[g.index]; n.Build < m.news.Build {
 				blue.Add(t, 1)
+				ill = max(ill, (t.Bad-1)/max(t.N(), 1)) // one may be chance
 			} else if n.Build == m.news.Build {
 				if nodes++; t.N() > 0 {
 					each = append(each, t)
@@ -687,7 +683,7 @@
 		slices.SortFunc(each, func(a, b stats.Count) int { return cmp.Compare(b.Bad*a.N(), a.Bad*b.N()) })
 		seen = 0
 		for i, t := range each {
-			if seen += t.N(); i >= min(len(each)-1, (len(each)+3)/4) {
+			if seen += t.N(); i >= (len(each)+3)/4 || len(each) == 1 && 2*ill*t.N() < t.Bad {
 				grn.Add(t, 1)
 			}
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,6 +46,7 @@
 	from            [2][]*node            // scratch: those that a hit may go to, at home and away
 	weights         [2][]float64
 	base            [2]Millis // what a probe to an idle node takes, at home and away
+	broken          float64   // smoothed share of forwards that found no connection or broke
 	missed          float64   // smoothed share of forwards that were late or lost
 	refused         float64   // smoothed share of forwards that were refused a connection at once
 	vote            Vote
@@ -80,6 +81,7 @@
 	ans           Millis  // smoothed answer time
 	fail          float64 // smoothed share of failures
 	limit, budget float64 // forwards out at most; forwards that a cold node may still get
+	misses        int     // forwards in a row that found no connection or broke
 	strikes       int     // times in a row that it was found unreachable or silent
 	shut          Millis  // nothing before: after a strike, or a short rest after it was full
 	look          float64 // what the last probe took, as a multiple of that to an idle node
