--- a/logic/logic.go
+++ b/logic/logic.go
@@ -683,7 +683,7 @@
 		slices.SortFunc(each, func(a, b stats.Count) int { return cmp.Compare(b.Bad*a.N(), a.Bad*b.N()) })
 		seen = 0
 		for i, t := range each {
-			if seen += t.N(); i >= (len(each)+3)/4 || len(each) == 1 && 2*ill*t.N() < t.Bad {
+			if seen += t.N(); i >= (len(each)+3)/4 || nodes == 1 && 2*ill*t.N() < t.Bad {
 				grn.Add(t, 1)
 			}
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -801,20 +801,25 @@
 	}
 }
 
-// A single trial node that fails is no proof while one of the earlier build fails alike: on the scored reload day a good
-// build went back in half a second.
+// A single trial node that fails is no proof while one of the earlier build fails alike, nor the only one of several
+// that was asked anything: on the scored reload day a good build went back by two failures that a thin marshal saw.
 func TestSingleTrialNode(t *testing.T) {
 	for _, tc := range []struct {
-		blue float64 // failures among 30 at one of two nodes
-		back bool
-	}{{0, true}, {1, true}, {25, false}} {
+		blue   float64 // failures among 30 at one of two nodes
+		others int     // trial nodes that were asked nothing yet
+		back   bool
+	}{{0, 0, true}, {1, 0, true}, {25, 0, false}, {0, 3, false}} {
 		r := start(t, trial(0, 0.1), nil)
-		r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a1", 7), node4("b1", 7), node4("a2", 8)}})
+		list := []Node{node4("a1", 7), node4("b1", 7), node4("a2", 8)}
+		for i := range tc.others {
+			list = append(list, node4(NodeID(fmt.Sprint("b", 2+i)), 8))
+		}
+		r.do(NodesChanged{How: Whole, Nodes: list})
 		for id, bad := range map[NodeID]float64{"a1": tc.blue, "b1": 0, "a2": 25} {
 			r.m.nodes[id].tally[0] = stats.Count{Good: 30 - bad, Bad: bad}
 		}
 		if k, _ := r.m.failing(); (k >= 1) != tc.back {
-			t.Errorf("blue fails %v times: statistic %v", tc.blue, k)
+			t.Errorf("blue fails %v times, %d others: statistic %v", tc.blue, tc.others, k)
 		}
 	}
 }
