A group whose median is a failure is no slower one: failures are counted by node

Fast failures are what failing judges, by node. Lines at fault: slower, with a gap of +Inf. Could hurt where a build fails most hits at all nodes: failing finds that within a few.

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -535,7 +535,8 @@
 	for _, c := range []struct {
 		older, kept, got float64
 		want             bool
-	}{{1, 1, 2, true}, {2, 1, 2, false}, {1, 2, 2, false}, {1, 1, 1.1, false}, {1, 1, 0.5, false}} {
+	}{{1, 1, 2, true}, {2, 1, 2, false}, {1, 2, 2, false}, {1, 1, 1.1, false}, {1, 1, 0.5, false},
+		{1, 1, math.Inf(1), false}} { // failures are counted by node
 		g := &group{blue: stats.Groups{Before: twenty(c.older), Last: twenty(c.kept)}}
 		if got := g.slower(twenty(c.got), 1); got != c.want {
 			t.Errorf("%+v: %v", c, got)
