--- a/logic/logic.go
+++ b/logic/logic.go
@@ -648,8 +648,8 @@
 	}
 }
 
-// slower tells whether outcomes are clearly slower than both of blue's last groups; one may be chance. If most
-// are failures, failing judges: by nodes, of which some fail fast whatever they run.
+// slower tells whether outcomes are clearly slower than both of blue's last groups: one may be chance. Where
+// most are failures, failing judges: by nodes, of which some fail fast whatever they run.
 func (g *group) slower(got []float64, wider float64) bool {
 	for _, blue := range [][]float64{g.blue.Before, g.blue.Last} {
 		if len(blue) == 0 || len(got) == 0 {
