--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -187,8 +187,8 @@
 // Where the list is asked of a service with a queue, a marshal follows on what it holds, never asks for the whole list
 // again, and lets the module say when a call that was refused, or failed twice, goes out; one that was cut goes out at once.
 func TestAskedList(t *testing.T) {
-	calls, told := make(chan string), make(chan marshal.List, 100)
-	answers := make(chan string)
+	calls, told := make(chan string, 100), make(chan marshal.List, 100)
+	answers := make(chan string, 100)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.RawQuery
 		switch a := <-answers; a {
@@ -197,12 +197,14 @@
 		case "cut": // after its head; before it, the client's transport would ask once more by itself
 			w.Header().Set("Content-Length", "100")
 			io.WriteString(w, "{")
+			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		default:
 			io.WriteString(w, a)
 		}
 	}))
 	defer s.Close()
+	defer close(answers)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := New(strings.TrimPrefix(s.URL, "http://"), &marshal.List{Stamp: 41}, settings.Network{AskList: true, AskWithin: 10000},
