Thin marshals: cold nodes get their part, what is known of a node fades, the limit on all recovers

Causes: a node's answer time (paceLimit) changes by answers only, and a thin marshal hears of a node every 5 s, so one that came back in bad times never won the choice of two; the limit (paceAll) fell to what was out at one moment and rose by a seventh an answer; the choice went by risk between cold and warm, and cold ones without a forward lost their weight.

Change: answer times relax to those of all nodes in the warm-up time; the limit shrinks from what was lately out, and grows with time while hits wait and answers are not long; cold nodes with a forward stand in for those without, chosen only among themselves; the share of the build on trial counts cold nodes plainly.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -225,7 +225,7 @@
 	if s.KeysStay && n.Build < m.pinBuild && h.key != 0 && m.pins[uint16(h.key>>16)] {
 		return false
 	}
-	return m.warmth(n) >= 1 || n.budget >= 1
+	return true
 }
 
 // forward sends a hit to the node chosen for it, if there is one.
@@ -241,6 +241,11 @@
 	if n == nil && !wait {
 		n, _ = m.pick(h, 1-side)
 	}
+	if n == nil && !wait { // then rather the warm ones beside them
+		m.crowd = true
+		n, _ = m.pick(h, side)
+		m.crowd = false
+	}
 	if n == nil {
 		return false
 	}
@@ -350,21 +355,28 @@
 // paceAll limits what is out at all nodes while answers of every tenant and path group are long, for slowness
 // of some hits is no lack of power. Danger: a thin marshal hears too seldom of each node.
 func (m *Marshal) paceAll(h *hit, after Millis) {
-	slow, least := min(1, math.Floor(after/h.Target/patience)), 1.0
+	slow := min(1, math.Floor(after/h.Target/patience))
 	for _, s := range []*float64{&m.slow, h.slow, h.tenantSlow} {
 		*s += freshness * (slow - *s)
 	}
-	for _, s := range m.slowBy {
-		least = min(least, *s)
-	}
-	if out := float64(m.out - m.stuck + 1); least > crowded {
-		// Danger: stuck ones may have ended since they were counted. At nothing, no answer would ever raise it.
-		m.limit = max(tiny, min(m.limit, out)*(1-freshness*(least-crowded)/(1-crowded)))
+	if out, least := float64(m.out-m.stuck+1), m.crowding(); least > crowded {
+		// Danger: stuck ones may have ended since they were counted. At nothing, no answer would ever raise it. By
+		// what is out at one moment, chance would take nearly all of it from a thin marshal.
+		m.limit = max(tiny, min(m.limit, max(out, m.peak))*(1-freshness*(least-crowded)/(1-crowded)))
 	} else if out >= m.limit {
 		m.limit += freshness
 	}
 }
 
+// crowding is the least share of answers that took long for their target, of all path groups and tenants.
+func (m *Marshal) crowding() float64 {
+	least := 1.0
+	for _, s := range m.slowBy {
+		least = min(least, *s)
+	}
+	return least
+}
+
 // serve gives waiting hits their forwards: first forwards before further ones.
 func (m *Marshal) serve() {
 	for i, wait := range []float64{patience, 1} {
@@ -394,15 +406,34 @@
 	}
 	for away, part := range m.parts[side] {
 		m.from[away], m.weights[away] = m.from[away][:0], m.weights[away][:0]
+		cold, open := 0.0, 0.0 // units of cold nodes, and of those among them that it has a forward for
 		for _, n := range part {
 			if m.fit(h, n) && m.mayGo(h, n) {
+				w := n.Units * m.warmth(n)
+				if m.warmth(n) < 1 {
+					cold += w
+					if n.budget < 1 {
+						continue
+					}
+					open += w
+				}
 				m.from[away] = append(m.from[away], n)
-				m.weights[away] = append(m.weights[away], n.Units*m.warmth(n))
+				m.weights[away] = append(m.weights[away], w)
 				if m.looked(n) {
 					better(n)
 				}
 			}
 		}
+		// Danger: a thin marshal has a forward for few cold nodes at a time. By their own weight alone those would stay
+		// empty, and the warm ones beside them, of the same build or zone, crowd. So they stand in for the others.
+		for i, n := range m.from[away] {
+			if m.warmth(n) < 1 {
+				m.weights[away][i] *= cold / open
+			}
+		}
+		if open == 0 && cold > 0 && !m.crowd {
+			m.from[away], m.weights[away] = append(m.from[away], nil), append(m.weights[away], cold)
+		}
 	}
 	if m.set.MayProbe && m.missed > 2*m.set.ProbePrice && len(m.from[0])+len(m.from[1]) > 1 {
 		away := 0
@@ -424,8 +455,16 @@
 		}
 	}
 	for away, from := range m.from {
-		for range min(len(from), 2) {
-			better(from[m.chance.Draw(m.weights[away])])
+		if len(from) == 0 {
+			continue
+		}
+		// Danger: cold nodes lose in the choice, so it is between two of them or two that are warm.
+		one, two := from[m.chance.Draw(m.weights[away])], from[m.chance.Draw(m.weights[away])]
+		if one != nil {
+			better(one)
+		}
+		if one != nil && two != nil && (m.warmth(one) < 1) == (m.warmth(two) < 1) {
+			better(two)
 		}
 	}
 	return best, false
@@ -472,6 +511,8 @@
 			m.troubleAt = m.now
 		}
 		n.fail *= 1 - m.period/m.set.WarmAfter
+		// Danger: a node that was slow once, or came while others were, would never be tried by a thin marshal.
+		n.ans += (m.typical - n.ans) * m.period / m.set.WarmAfter
 		if m.hush(n) >= leaveHush && m.now >= n.shut {
 			m.strike(n)
 		}
@@ -479,13 +520,12 @@
 		// fraction, from a drawn start, and lapses unless soon used; only all parts together are whole forwards.
 		w := m.warmth(n)
 		rate := m.rate * n.Units * w * math.Sqrt(m.set.OverFactor)
-		if n.budget += rate * m.period; n.budget >= 1+rate*m.set.OverFor*patience {
+		if n.budget += rate * m.period; n.budget >= 1+rate*m.set.OverFor/2 {
 			n.budget--
 		}
 		if n.State == Up && n.strikes == 0 {
 			units += n.Units * math.Floor(w)
-			// Danger: cold nodes lose in the choice; by their whole share grn's warm ones crowd and look slow.
-			use[m.side(n)] += n.Units * math.Pow(w, float64(1+3*m.side(n)))
+			use[m.side(n)] += n.Units * w
 		}
 	}
 	if units > 0 { // with only cold nodes left, as last seen
@@ -493,6 +533,10 @@
 	}
 	m.delivered = 0
 	m.least *= 1 + m.period/m.set.WarmAfter/groupSize // creeps up, as the paces of nodes may
+	// Danger: by answers alone a thin marshal would win back what it gave up in a moment only over many seconds.
+	if m.peak = max(float64(m.out-m.stuck), m.peak*(1-m.period/m.set.OverFor)); len(m.lines[0]) > 0 && m.crowding() <= crowded {
+		m.limit *= 1 + m.period/m.set.WarmAfter
+	}
 	if m.share = use[1] / max(use[0], use[1], tiny); m.set.InPlace {
 		m.share = use[1] / max(use[0]+use[1], tiny)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -39,13 +39,14 @@
 	slowBy          []*float64            // the same by tenant and path group
 	tenants         map[TenantID]*float64 // as in the settings
 	out, stuck      int                   // forwards out, and those of them at silent nodes
-	limit           float64               // on forwards out at all nodes
+	limit, peak     float64               // on forwards out at all nodes; how many were out lately
 	rate, delivered float64               // answers a ms of a warm unit; the newest
 	failures        stats.Count           // own ones, bad where the node answered with an error
 	troubleAt       Millis                // a node was last found out of reach
 	closeAt         Millis                // the pool's group of the build on trial is judged as it is
 	parts           [2][2][]*node         // the list by build and zone: blue and grn, at home and away
-	from            [2][]*node            // scratch: those that a hit may go to, at home and away
+	from            [2][]*node            // scratch: those that a hit may go to, at home and away; nil for cold ones
+	crowd           bool                  // scratch: the warm may take what cold ones can't
 	weights         [2][]float64
 	base            [2]Millis // what a probe to an idle node takes, at home and away
 	broken          float64   // smoothed share of forwards that found no connection or broke
