A probe is never drawn from the stand-in for cold nodes; faults say where

The fault carried no place, so the adapter's fault text now names the first frame of our own code; it said logic.go:450.

Cause: pick() adds a nil entry to its draw (the stand-in for cold nodes that have no forward left) and the probe branch drew from the same list and read .ID of it.

Ruled out: the wire decoder (the panic is inside Handle), the new discovery mode (the fault comes from the pick path).

Change: a nil draw is no node to look at; the hit chooses as usual.

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 
@@ -77,7 +78,7 @@
 func handle(marshals map[int]*logic.Marshal, reply []byte, now float64, in *benchwire.Incoming) (out []byte) {
 	defer func() {
 		if p := recover(); p != nil {
-			out = benchwire.AppendFault(reply, in.Who, fmt.Sprintf("panic: %v", p))
+			out = benchwire.AppendFault(reply, in.Who, fmt.Sprintf("panic: %v at %s", p, panicAt()))
 			delete(marshals, in.Who)
 		}
 	}()
@@ -98,3 +99,18 @@
 	}
 	return reply
 }
+
+// panicAt names the first frame of the project's own code under the panic, so a fault says where it arose.
+func panicAt() string {
+	pcs := make([]uintptr, 32)
+	frames := runtime.CallersFrames(pcs[:runtime.Callers(3, pcs)])
+	for {
+		f, more := frames.Next()
+		if strings.HasPrefix(f.Function, "ottershed/") {
+			return fmt.Sprintf("%s:%d", f.File[strings.LastIndex(f.File, "/")+1:], f.Line)
+		}
+		if !more {
+			return "an unknown place"
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -446,10 +446,13 @@
 		case m.now < h.lookAt+2*m.set.Granularity:
 			return nil, true
 		case h.looks < mostLooks:
-			h.looks, h.lookAt = h.looks+1, m.now
-			m.do(Probe{Node: m.from[away][m.chance.Draw(m.weights[away])].ID})
-			m.do(WakeAt{Token: 1, At: m.now + 2*m.set.Granularity})
-			return nil, true
+			// The stand-in for cold nodes with no forward left (nil) is no node to look at: it chooses as usual.
+			if n := m.from[away][m.chance.Draw(m.weights[away])]; n != nil {
+				h.looks, h.lookAt = h.looks+1, m.now
+				m.do(Probe{Node: n.ID})
+				m.do(WakeAt{Token: 1, At: m.now + 2*m.set.Granularity})
+				return nil, true
+			}
 		case best != nil:
 			return best, false
 		}
