Cold turnover of the capacity counts as node trouble: good builds are kept

Cause: at the last stage every earlier node drains while its successor is still cold; the warm few take everything and are slow, and the last group of the earlier build (from before the turnover) is the only thing to compare with.

Change: in lookAround, while warm capacity of all up nodes is under 1/slowGap of their units, it is node trouble (troubleAt): a slow verdict sends nothing back until a warm-up time later; failures count.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -501,7 +501,7 @@
 }
 
 func (m *Marshal) lookAround() {
-	use, units := [2]float64{}, 0.0 // what blue and grn can do; units that are warm
+	use, units, all := [2]float64{}, 0.0, 0.0 // what blue and grn can do; units that are warm, and all units
 	m.stuck = 0
 	for _, s := range m.slowBy {
 		*s += (m.slow - *s) * m.period / m.set.WarmAfter // those without answers follow the rest
@@ -529,8 +529,14 @@
 		if n.State == Up && n.strikes == 0 {
 			units += n.Units * math.Floor(w)
 			use[m.side(n)] += n.Units * w
+			all += n.Units
 		}
 	}
+	// Danger: while so much is cold that the rest is a gap slower, slowness is the turnover's, not the build's: at
+	// the last stage of an in-place swap no earlier node is left to tell. It is node trouble; failures still count.
+	if use[0]+use[1] < all/slowGap {
+		m.troubleAt = m.now
+	}
 	if units > 0 { // with only cold nodes left, as last seen
 		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/units/m.period - m.rate)
 	}
