A hold of the clock takes as many rejections in a row as its share of marshals asks

Cause: under a clock the module held after one rejection whatever the number of marshals that a hold takes; the proof that scales with the marshals (`often`, from BackVotes) was only asked of a back vote. domain.to-pause and domain.auto-after-ms were not passed on at all.

--- a/logic/api.go
+++ b/logic/api.go
@@ -84,6 +84,8 @@
 	VoteWait     Millis
 	OnVotes      int    // marshals whose votes move a stage on
 	BackVotes    int    // marshals whose votes send a build back
+	HoldVotes    int    // marshals whose votes stop the clock; 0: not told, as one
+	StepAfter    Millis // under a clock: the time of a stage without holds; 0: not told
 	TallyEvery   Millis // time between the desk's counts; 0: none
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,10 +47,10 @@
 	m.room.level = set.Free
 	// Danger: where one of hundreds of votes decides, somebody's chance evidence sends a good build back, and
 	// the luckiest marshal votes a bad one on; where many must meet, nobody sees as much as a handful would.
-	need, marshals := float64(max(1, set.BackVotes)), float64(max(1, set.Marshals))
-	alarm := min(rejectedBy, need/marshals*math.Exp(-4/math.Sqrt(need)))
+	marshals := float64(max(1, set.Marshals))
+	alarm, often := proofOf(set.BackVotes, marshals)
 	m.certain, m.proof = stats.ExceededBy(alarm), groupSize/4*math.Log(marshals/float64(max(1, set.OnVotes)))
-	often := max(1, int(math.Round(math.Log(alarm)/math.Log(rejectedBy))))
+	_, m.holdAfter = proofOf(set.HoldVotes, marshals) // where one of hundreds holds, one chance must not
 	m.pool = &group{room: m.room, index: len(set.Groups), often: often, slow: new(float64)}
 	m.desk = &group{often: backAfter} // all marshals see the same counts
 	for i, g := range set.Groups {
@@ -68,6 +68,14 @@
 	return m
 }
 
+// proofOf is the chance of a false alarm that a marshal may take where so many of all must meet, and the
+// rejections in a row that bring it down to that.
+func proofOf(votes int, marshals float64) (alarm float64, times int) {
+	need := float64(max(1, votes))
+	alarm = min(rejectedBy, need/marshals*math.Exp(-4/math.Sqrt(need)))
+	return alarm, max(1, int(math.Round(math.Log(alarm)/math.Log(rejectedBy))))
+}
+
 // Handle takes what happened and returns what is to be done.
 func (m *Marshal) Handle(now Millis, event Event) []Action {
 	m.now, m.acts = now, nil
@@ -794,7 +802,7 @@
 // verdict is what this marshal stands for, with the reason.
 func (m *Marshal) verdict() (Verdict, string) {
 	failing, seen := m.failing()
-	agree, reject, full := true, false, 0
+	agree, reject, hold, full := true, false, false, 0
 	var back, slow *group
 	for _, g := range m.all {
 		if g.blue.Last != nil && len(g.grn.Last) == groupSize && (g != m.pool || full == 0) {
@@ -802,6 +810,7 @@
 			agree = agree && g.agrees
 		}
 		reject = reject || g.rejects > 0 || g.before != nil && g.before.rejects > 0
+		hold = hold || g.rejects >= m.holdAfter || g.before != nil && g.before.rejects >= m.holdAfter
 		if g.rejects >= g.often && m.now-m.troubleAt >= m.set.WarmAfter { // lost nodes crowd the rest
 			back = g
 		}
@@ -817,8 +826,8 @@
 		return VoteBack, fmt.Sprintf("path group %q clearly slower again, by %.2f at last", back.Name, back.gap)
 	case slow != nil && (trial || m.now-m.stageAt < 3*m.set.WarmAfter):
 		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", slow.gap)
-	case trial && m.set.Control == ByClock && reject:
-		return VoteHold, "clearly slower once"
+	case trial && m.set.Control == ByClock && hold:
+		return VoteHold, fmt.Sprintf("clearly slower, %d times in a row", m.holdAfter)
 	case !trial || m.set.Control == ByClock || 2*failing >= 1 || reject:
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -826,3 +826,51 @@
 		}
 	}
 }
+
+// Where one of hundreds can stop the clock, one chance rejection must not: a hold takes as many in a row as
+// the share of marshals that holds asks for; where a tenth of twenty hold, fewer.
+func TestHoldProof(t *testing.T) {
+	for _, c := range []struct{ marshals, hold, rejects int }{{3, 1, 2}, {17, 2, 2}, {280, 1, 3}, {650, 0, 3},
+		{280, 28, 1}} {
+		for rejects, want := range []Verdict{VoteNone, VoteNone, VoteNone, VoteNone} {
+			if rejects >= c.rejects {
+				want = VoteHold
+			}
+			r := start(t, trial(1, 0.5), func(s *Settings) {
+				s.Marshals, s.HoldVotes, s.BackVotes, s.Control = c.marshals, c.hold, c.marshals, ByClock
+			})
+			r.m.order[0].rejects, r.m.troubleAt = rejects, r.m.now // no back: the hold alone is judged
+			if got, why := r.m.verdict(); rejects > 0 && got != want {
+				t.Errorf("%+v with %d rejections: %v, %s", c, rejects, got, why)
+			}
+		}
+	}
+}
+
+// While most of the capacity is cold, as at the last stage of an in-place swap, slowness sends no build back:
+// the warm few take everything. Once warm, it does.
+func TestColdTurnover(t *testing.T) {
+	for _, c := range []struct {
+		age  Millis // of the build on trial's nodes, since their start
+		want Verdict
+	}{{500, VoteNone}, {2000, VoteNone}, {3500, VoteBack}, {9000, VoteBack}} {
+		r := start(t, trial(2, 1), nil)
+		for _, id := range []NodeID{"a1", "b1"} { // the earlier build has drained
+			r.m.nodes[id].State = Draining
+		}
+		for _, id := range []NodeID{"a2", "b2"} {
+			r.m.nodes[id].coldAt = r.m.now - c.age
+		}
+		r.m.order[0].rejects = backAfter
+		r.m.lookAround()
+		if r.m.now += 4500; c.age < 9000 {
+			for _, id := range []NodeID{"a2", "b2"} {
+				r.m.nodes[id].coldAt = r.m.now - c.age
+			}
+		}
+		r.m.lookAround()
+		if got, why := r.m.verdict(); got != c.want {
+			t.Errorf("%+v: %v, %s", c, got, why)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -20,6 +20,7 @@
 	pool                 *group   // all of them, each by its pace, so that thin marshals fill groups too
 	desk                 *group   // the same from the desk's counts
 	certain, proof       float64  // the test statistic that is proof alone; outcomes that a blind vote takes
+	holdAfter            int      // rejections in a row that hold the clock
 
 	nodes           map[NodeID]*node
 	list            []*node              // nodes by id; the list of nodes empties it
