A running marshal takes new settings on SIGHUP, and gives them back the same way

Need: the move to deployments of another shape must work in a running program and in both directions. Before, SIGHUP took only the addresses; any change under `settings` was logged as needing a restart.

Change: the module gets SettingsChanged; New and the switch share one settle(), which derives the proof (certain, proof, often, holdAfter) and the divisors from the new figures and keeps hits, nodes, groups and what was learned. Path groups, tenants, granularity and the sockets' figures stay as at the start (config.Switchable; the log still names `settings` when those differ). internal/marshal posts it through the news queue (Settle) and replays the newest figures after a panic's new start. serve's reload hands over what differs from the last taken.

--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -80,6 +81,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
+	settled := cfg.Settings // the module's figures as last handed over
 	reload := func(ctx context.Context) {
 		for {
 			select {
@@ -96,6 +98,12 @@
 			if fixed := cfg.Fixed(next); len(fixed) > 0 {
 				log.WithField("keys", strings.Join(fixed, ",")).Warn("configuration: these need a restart")
 			}
+			if cfg.Switchable(next) && !reflect.DeepEqual(settled, next.Settings) {
+				settled = next.Settings // the way back is the same step
+				m.Settle(settled)
+				log.WithFields(logrus.Fields{"marshals": settled.Marshals, "control": settled.Control,
+					"hold_votes": settled.HoldVotes, "back_votes": settled.BackVotes}).Info("settings taken")
+			}
 			follower.Move(ctx, next.Discovery) // it never waits; the desk may while it connects
 			release.Move(ctx, next.Platform)
 			log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform}).Info("configuration taken")
--- a/cmd/ottershed/serve_test.go
+++ b/cmd/ottershed/serve_test.go
@@ -22,6 +22,7 @@
 
 	"ottershed/internal/config"
 	"ottershed/internal/logging"
+	"ottershed/logic"
 
 	"github.com/sirupsen/logrus"
 )
@@ -332,3 +333,127 @@
 		t.Error("served on a taken address")
 	}
 }
+
+// The move to a deployment of another shape, and back, in a running marshal: on SIGHUP the module takes the new
+// figures (a clock that hundreds can hold, exposure for each path group) without a restart, while clients go on;
+// every hit gets one answer, none that mutates runs twice, and the same step leads back.
+func TestSwitchSettings(t *testing.T) {
+	w := newTown(t)
+	defer w.close()
+	cfg, path := w.file(t)
+	old, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := strings.Replace(string(old), `"n-instances":1,`, `"n-instances":600,`, 1)
+	moved = strings.Replace(moved, `"domain":{`, `"domain":{"vote-mode":"clocked","to-pause":1,"per":"per_lane",`, 1)
+	if next, err := config.Reread(writeFile(t, path, moved), func(string) string { return "" }); err != nil ||
+		!cfg.Switchable(next) || next.Settings.HoldVotes != 1 || next.Settings.Control != logic.ByClock {
+		t.Fatalf("the moved file: %v, %+v", err, next)
+	}
+	writeFile(t, path, string(old))
+	var out syncBuffer
+	stop, hup, left, taken := make(chan os.Signal, 1), make(chan os.Signal), make(chan error), make(chan error)
+	go func() {
+		left <- run(context.Background(), cfg, logging.New(&out, logrus.InfoLevel), stop, hup, func() (*config.Config, error) {
+			next, err := config.Reread(path, func(string) string { return "" })
+			taken <- err
+			return next, err
+		})
+	}()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	url := "http://" + cfg.Listen
+	for {
+		if res, err := client.Get(url + "/up"); err == nil {
+			res.Body.Close()
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	var hits, answered, id atomic.Int32
+	var clients sync.WaitGroup
+	leaving := make(chan struct{})
+	for i := range 4 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-leaving:
+					return
+				default:
+				}
+				req, _ := http.NewRequest(http.MethodGet, url+"/read/1", nil)
+				if i%2 == 0 {
+					req, _ = http.NewRequest(http.MethodPost, url+"/pay/1", strings.NewReader("body"))
+				}
+				req.Header.Set("X-Correlation-Id", fmt.Sprint(id.Add(1)))
+				req.Header.Set("X-Time-Left", "0.250")
+				hits.Add(1)
+				res, err := client.Do(req)
+				if err != nil {
+					t.Errorf("a hit got no answer: %v", err)
+					return
+				}
+				io.Copy(io.Discard, res.Body)
+				res.Body.Close()
+				answered.Add(1)
+			}
+		})
+	}
+	for _, text := range []string{moved, string(old), moved, string(old)} { // there, back, and again
+		for until := answered.Load() + 50; answered.Load() < until; {
+			time.Sleep(time.Millisecond)
+		}
+		writeFile(t, path, text)
+		if hup <- syscall.SIGHUP; <-taken != nil {
+			t.Fatalf("not taken: %q", text)
+		}
+	}
+	for until := answered.Load() + 50; answered.Load() < until; {
+		time.Sleep(time.Millisecond)
+	}
+	close(leaving)
+	clients.Wait()
+	stop <- syscall.SIGTERM
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+	if hits.Load() != answered.Load() {
+		t.Errorf("%d hits, %d answers", hits.Load(), answered.Load())
+	}
+	w.mu.Lock()
+	for key, n := range w.ran {
+		if n > 1 {
+			t.Errorf("hit %s ran %d times", key, n)
+		}
+	}
+	w.mu.Unlock()
+	if n := strings.Count(out.String(), "settings taken"); n != 4 || strings.Contains(out.String(), "need a restart") {
+		t.Errorf("%d switches of the settings, want 4\n%s", n, out.String())
+	}
+}
+
+func writeFile(t *testing.T, path, text string) string {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// syncBuffer is a log that the test reads while the marshal writes.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -119,7 +119,7 @@
 		key  string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings) && c.Network == next.Network}} {
+		{"settings", c.Switchable(next)}} {
 		if !k.same {
 			keys = append(keys, k.key)
 		}
@@ -127,6 +127,14 @@
 	return keys
 }
 
+// Switchable tells whether a running marshal can take next's settings: all but its path groups, tenants,
+// granularity and the figures of the sockets.
+func (c *Config) Switchable(next *Config) bool {
+	a, b := c.Settings, next.Settings
+	return reflect.DeepEqual(a.Groups, b.Groups) && reflect.DeepEqual(a.Tenants, b.Tenants) &&
+		a.Granularity == b.Granularity && c.Network == next.Network
+}
+
 func readAs(path string, env func(string) string, again bool) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/marshal/core.go
+++ b/internal/marshal/core.go
@@ -25,6 +25,7 @@
 	open      map[logic.HitID]*open  // hits; the final answer with the last forward's ending empties it
 	list      map[logic.NodeID]Entry // nodes; discovery empties it
 	news      *logic.StageNews       // as last told, for a new start of the module
+	settings  *logic.SettingsChanged // the same: the newest figures, where they came after the start
 	newsAt    logic.Millis           // when it was told
 	timers    timers                 // of the module; they empty it by coming due
 	follow    []logic.Event          // events that actions caused, for after these actions
@@ -115,6 +116,9 @@
 				c.news, c.newsAt = &e, now
 			}
 		}
+		if e, ok := msg.event.(logic.SettingsChanged); ok {
+			c.settings = &e
+		}
 		c.give(now, msg.event)
 	}
 }
@@ -268,6 +272,9 @@
 	if c.restarted = now; again {
 		return
 	}
+	if c.settings != nil {
+		c.follow = append(c.follow, *c.settings)
+	}
 	known := logic.NodesChanged{How: logic.Remembered}
 	for _, e := range c.list {
 		known.Nodes = append(known.Nodes, e.Node)
--- a/internal/marshal/marshal.go
+++ b/internal/marshal/marshal.go
@@ -58,6 +58,9 @@
 // Told hands over what the desk has told.
 func (m *Marshal) Told(e logic.Event) { m.post(told{e}) }
 
+// Settle hands over new figures of the deployment; they pass before hits that wait, and what is open stays.
+func (m *Marshal) Settle(s logic.Settings) { m.post(told{logic.SettingsChanged{Settings: s}}) }
+
 func (m *Marshal) post(msg message) {
 	p := posted{msg, m.clock.Now()}
 	m.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -167,7 +167,7 @@
 		FlagShare: p.may("domain.reported-share"),
 		VoteLife:  p.may("domain.vote-ttl-ms"), VoteWait: p.may("domain.vote-wait-ms"),
 		OnVotes: int(p.may("domain.on-votes")), BackVotes: int(p.may("domain.votes-to-revert")),
-		HoldVotes: int(p.may("domain.to-pause")), StepAfter: p.may("domain.auto-after-ms"),
+		HoldVotes:  int(p.may("domain.to-pause")),
 		TallyEvery: p.may("domain.tally-every-ms"),
 	}
 	if p.yes("limits.retry-after") {
--- a/logic/api.go
+++ b/logic/api.go
@@ -85,13 +85,16 @@
 	OnVotes      int    // marshals whose votes move a stage on
 	BackVotes    int    // marshals whose votes send a build back
 	HoldVotes    int    // marshals whose votes stop the clock; 0: not told, as one
-	StepAfter    Millis // under a clock: the time of a stage without holds; 0: not told
 	TallyEvery   Millis // time between the desk's counts; 0: none
 }
 
 // Event is what happened; each concrete type below is one kind.
 type Event interface{ event() }
 
+// SettingsChanged brings new figures of the deployment to a running marshal. Its path groups, tenants and
+// granularity stay as at its start; what it has taken stays open.
+type SettingsChanged struct{ Settings Settings }
+
 // NodeState is what the list says of a node.
 type NodeState int
 
@@ -226,17 +229,18 @@
 	}
 )
 
-func (NodesChanged) event()  {}
-func (HitTaken) event()      {}
-func (AnswerStarted) event() {}
-func (ForwardEnded) event()  {}
-func (HitGone) event()       {}
-func (TimerDue) event()      {}
-func (ProbeEnded) event()    {}
-func (PeerSaid) event()      {}
-func (StageNews) event()     {}
-func (Tally) event()         {}
-func (Flagged) event()       {}
+func (NodesChanged) event()    {}
+func (HitTaken) event()        {}
+func (AnswerStarted) event()   {}
+func (ForwardEnded) event()    {}
+func (HitGone) event()         {}
+func (TimerDue) event()        {}
+func (ProbeEnded) event()      {}
+func (PeerSaid) event()        {}
+func (StageNews) event()       {}
+func (SettingsChanged) event() {}
+func (Tally) event()           {}
+func (Flagged) event()         {}
 
 // Action is what is to be done; each concrete type below is one kind.
 type Action interface{ action() }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,16 +45,10 @@
 		groups: map[GroupName]*group{}, nodes: map[NodeID]*node{}, hits: map[HitID]*hit{},
 		kinds: map[Kind]*stats.Mean{}, pins: map[uint16]bool{}, tenants: map[TenantID]*float64{}}
 	m.room.level = set.Free
-	// Danger: where one of hundreds of votes decides, somebody's chance evidence sends a good build back, and
-	// the luckiest marshal votes a bad one on; where many must meet, nobody sees as much as a handful would.
-	marshals := float64(max(1, set.Marshals))
-	alarm, often := proofOf(set.BackVotes, marshals)
-	m.certain, m.proof = stats.ExceededBy(alarm), groupSize/4*math.Log(marshals/float64(max(1, set.OnVotes)))
-	_, m.holdAfter = proofOf(set.HoldVotes, marshals) // where one of hundreds holds, one chance must not
-	m.pool = &group{room: m.room, index: len(set.Groups), often: often, slow: new(float64)}
+	m.pool = &group{room: m.room, index: len(set.Groups), slow: new(float64)}
 	m.desk = &group{often: backAfter} // all marshals see the same counts
 	for i, g := range set.Groups {
-		m.groups[g.Name] = &group{PathGroup: g, index: i, room: m.room, often: often, slow: new(float64)}
+		m.groups[g.Name] = &group{PathGroup: g, index: i, room: m.room, slow: new(float64)}
 		m.slowBy = append(m.slowBy, m.groups[g.Name].slow)
 		m.order = append(m.order, m.groups[g.Name])
 		m.period = min(m.period, g.Target*tickShare)
@@ -62,12 +56,29 @@
 	}
 	m.all = append(slices.Clone(m.order), m.pool, m.desk)
 	m.period = max(min(m.period, m.pool.Target), set.Granularity, 1)
-	m.set.WarmAfter, m.set.OverFor = max(set.WarmAfter, m.period), max(set.OverFor, m.period) // divisors
+	m.settle(set)
 	m.turn, m.limit = m.chance.Next(), math.Inf(1)
 	m.typical, m.least = m.pool.Target*patience, m.pool.Target*patience
 	return m
 }
 
+// settle takes the figures of a deployment, at the start or while it runs: what was seen and what is open stay,
+// and so do the path groups, the tenants and the time between looks, as at the start.
+func (m *Marshal) settle(set Settings) {
+	// Danger: where one of hundreds of votes decides, somebody's chance evidence sends a good build back, and
+	// the luckiest marshal votes a bad one on; where many must meet, nobody sees as much as a handful would.
+	marshals := float64(max(1, set.Marshals))
+	alarm, often := proofOf(set.BackVotes, marshals)
+	m.certain, m.proof = stats.ExceededBy(alarm), groupSize/4*math.Log(marshals/float64(max(1, set.OnVotes)))
+	_, m.holdAfter = proofOf(set.HoldVotes, marshals) // where one of hundreds holds, one chance must not
+	for _, g := range append(slices.Clone(m.order), m.pool) {
+		g.often = often
+	}
+	set.Groups, set.Tenants, set.Granularity = m.set.Groups, m.set.Tenants, m.set.Granularity
+	m.set = set
+	m.set.WarmAfter, m.set.OverFor = max(set.WarmAfter, m.period), max(set.OverFor, m.period) // divisors
+}
+
 // proofOf is the chance of a false alarm that a marshal may take where so many of all must meet, and the
 // rejections in a row that bring it down to that.
 func proofOf(votes int, marshals float64) (alarm float64, times int) {
@@ -118,6 +129,8 @@
 		}
 	case StageNews:
 		m.stageNews(e)
+	case SettingsChanged:
+		m.settle(e.Settings)
 	case Tally:
 		m.tallied(e)
 	case Flagged: // a wrong answer is a failure; only a share of them is told
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -874,3 +874,32 @@
 		}
 	}
 }
+
+// New figures reach a running marshal: what it has taken stays open and gets one answer, the proof follows the
+// new figures, and the same step leads back.
+func TestSettingsChange(t *testing.T) {
+	r := start(t, trial(1, 0.5), func(s *Settings) { s.Marshals = 3 })
+	was := r.m.set
+	id, to := r.hit("pay", "")
+	if to == "" {
+		t.Fatal("the hit was not forwarded")
+	}
+	next := was
+	next.Marshals, next.HoldVotes, next.BackVotes, next.Control = 600, 1, 30, ByClock
+	r.do(SettingsChanged{Settings: next})
+	if r.m.holdAfter != 3 || r.m.pool.often != 1 || r.m.set.Control != ByClock || len(r.m.hits) != 1 {
+		t.Errorf("after the change: hold after %d, back after %d, control %v, %d open", r.m.holdAfter,
+			r.m.pool.often, r.m.set.Control, len(r.m.hits))
+	}
+	r.end(id, 0, Delivered, 30)
+	if n, _ := r.answers(id); n != 0 || len(r.m.hits) != 0 {
+		t.Errorf("a delivered hit: %d answers of the marshal's own, %d open", n, len(r.m.hits))
+	}
+	if r.sent(id, 1) != "" {
+		t.Error("the hit was sent twice")
+	}
+	r.do(SettingsChanged{Settings: was})
+	if r.m.holdAfter != 2 || r.m.pool.often != 2 || r.m.set.Control != ByVotes || r.m.set.WarmAfter != was.WarmAfter {
+		t.Errorf("back: hold after %d, back after %d, control %v", r.m.holdAfter, r.m.pool.often, r.m.set.Control)
+	}
+}
