--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -687,7 +687,7 @@
 }
 
 // The limit on all forwards never reaches nothing. Forwards at silent nodes that ended after they were counted took it
-// there, and a marshal bounced every hit for the rest of the day (simulated, rough-1 of macon-boards-later).
+// there, and a marshal bounced every hit for the rest of the day (simulated, on an earlier deployment).
 func TestLimitComesBack(t *testing.T) {
 	r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
 	h, _ := r.hit("read", "")
