--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,8 +62,8 @@
 	return m
 }
 
-// settle takes the figures of a deployment, at the start or while it runs: what was seen and what is open stay,
-// and so do the path groups, the tenants and the time between looks, as at the start.
+// settle takes the figures of a deployment, at the start or while it runs: what was seen and what is open
+// stay, and so do the path groups, the tenants and the time between looks, as at the start.
 func (m *Marshal) settle(set Settings) {
 	// Danger: where one of hundreds of votes decides, somebody's chance evidence sends a good build back, and
 	// the luckiest marshal votes a bad one on; where many must meet, nobody sees as much as a handful would.
@@ -121,6 +121,9 @@
 		if n := m.nodes[e.Node]; n != nil && e.Ending == Delivered {
 			base := cmp.Or(m.base[m.away(n)], e.After)
 			n.look, n.lookAt = e.After/base, now
+			if l := e.Load; l != nil && l.Util >= 0 { // Danger: answered at once, a probe's time tells nothing
+				n.look = max(n.look, 1/max(1-l.Util, tiny)) // of a queue; how busy the cores are does
+			}
 			if base *= 1 + freshness*freshness*patience; n.look < 1 { // a fifth come back sooner
 				base *= 1 - freshness*freshness
 			}
@@ -445,8 +448,9 @@
 				}
 			}
 		}
-		// Danger: a thin marshal has a forward for few cold nodes at a time. By their own weight alone those would stay
-		// empty, and the warm ones beside them, of the same build or zone, crowd. So they stand in for the others.
+		// Danger: a thin marshal has a forward for few cold nodes at a time. By their own weight alone those
+		// would stay empty, and the warm ones beside them, of the same build or zone, crowd. So they stand in
+		// for the others.
 		for i, n := range m.from[away] {
 			if m.warmth(n) < 1 {
 				m.weights[away][i] *= cold / open
@@ -553,8 +557,9 @@
 			all += n.Units
 		}
 	}
-	// Danger: while so much is cold that the rest is a gap slower, slowness is the turnover's, not the build's: at
-	// the last stage of an in-place swap no earlier node is left to tell. It is node trouble; failures still count.
+	// Danger: while so much is cold that the rest is a gap slower, slowness is the turnover's, not the
+	// build's: at the last stage of an in-place swap no earlier node is left to tell. It is node trouble;
+	// failures still count. Covers any loss of warm power; hurts by delay when a slow build meets it.
 	if use[0]+use[1] < all/slowGap {
 		m.troubleAt = m.now
 	}
@@ -564,7 +569,8 @@
 	m.delivered = 0
 	m.least *= 1 + m.period/m.set.WarmAfter/groupSize // creeps up, as the paces of nodes may
 	// Danger: by answers alone a thin marshal would win back what it gave up in a moment only over many seconds.
-	if m.peak = max(float64(m.out-m.stuck), m.peak*(1-m.period/m.set.OverFor)); len(m.lines[0]) > 0 && m.crowding() <= crowded {
+	m.peak = max(float64(m.out-m.stuck), m.peak*(1-m.period/m.set.OverFor))
+	if len(m.lines[0]) > 0 && m.crowding() <= crowded {
 		m.limit *= 1 + m.period/m.set.WarmAfter
 	}
 	if m.share = use[1] / max(use[0], use[1], tiny); m.set.InPlace {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -903,3 +903,19 @@
 		t.Errorf("back: hold after %d, back after %d, control %v", r.m.holdAfter, r.m.pool.often, r.m.set.Control)
 	}
 }
+
+// A probe that comes back at once from a node whose cores are busy finds no idle node: its reported use
+// counts as the slowdown of a queue, 1/(1-use).
+func TestLookByUse(t *testing.T) {
+	for _, c := range []struct {
+		use  float64 // -1: not reported
+		idle bool
+	}{{-1, true}, {0.1, true}, {0.5, false}, {0.95, false}} {
+		r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+		r.m.base = [2]Millis{1, 1}
+		r.do(ProbeEnded{Node: "a1", Ending: Delivered, After: 1, Load: &Load{Util: c.use, Queue: -1}})
+		if n := r.m.nodes["a1"]; (n.look <= slowGap) != c.idle {
+			t.Errorf("%+v: look %v", c, n.look)
+		}
+	}
+}
