Membership among marshals: a SWIM failure detector, and real processes under faults

internal/membership decides, free of I/O: SWIM with suspicion, incarnations and local health awareness, word of a death that is only an accusation to those who hear the member, own pauses told apart, comparison by sums. internal/peers gives it a socket, internal/admin and `ottershed members` show its view, internal/config reads the operator's file (deploy/operator.toml), which `run` does not name: off there. internal/faultnet loses, delays and cuts packets and stalls, kills and starts processes, by a seed or a script; internal/lab starts fleets of real processes among stand-ins.

--- /dev/null
+++ b/cmd/ottershed/cluster_test.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"ottershed/internal/faultnet"
+	"ottershed/internal/lab"
+	"ottershed/internal/membership"
+)
+
+// asProgram has the test's own program be ottershed: tests start several of them as processes.
+const asProgram = "OTTERSHED_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) == "1" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// cluster starts marshals as processes, with all of them found by all.
+func cluster(t *testing.T, set lab.Settings) (*lab.Fleet, context.Context) {
+	t.Helper()
+	town, err := lab.NewTown(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(town.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	t.Cleanup(cancel)
+	if set.DetectWithin == 0 {
+		set.BearPause, set.DetectWithin = 3500*time.Millisecond, 9*time.Second
+	}
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Dir, set.Program, set.Env, set.Town = t.TempDir(), program, []string{asProgram + "=1"}, town
+	f, err := lab.New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			for i := range f.Names() {
+				t.Logf("%s:\n%s", f.Names()[i], f.Process(i).Output())
+			}
+		}
+	})
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 20*time.Second, func() error { return f.Agree(ctx) })
+	return f, ctx
+}
+
+// await fails the test where something does not come true in time.
+func await(t *testing.T, ctx context.Context, within time.Duration, ok func() error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	if err := lab.Until(ctx, ok); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// declared are the log lines of all marshals that say that a member is dead.
+func declared(f *lab.Fleet) (lines []string) {
+	for i, name := range f.Names() {
+		for line := range strings.Lines(f.Process(i).Output()) {
+			if strings.Contains(line, `msg="member changed"`) && strings.Contains(line, "state=dead") {
+				lines = append(lines, name+": "+line)
+			}
+		}
+	}
+	return lines
+}
+
+// all has a check hold at every marshal but one.
+func all(f *lab.Fleet, but int, check func(i int) error) error {
+	for i := range f.Names() {
+		if i != but {
+			if err := check(i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// A member that stands still for 3 s is suspected, and alive again when it goes on; nobody declares it dead.
+func TestMemberPauses(t *testing.T) {
+	t.Parallel()
+	f, ctx := cluster(t, lab.Settings{Marshals: 5, Seed: 1})
+	before, err := f.Members(ctx, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	was, _ := before.Get("n2")
+	paused := time.Now()
+	if err := f.Process(2).Stall(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 2900*time.Millisecond, func() error { return f.Holds(ctx, 0, 2, membership.Suspect) })
+	time.Sleep(time.Until(paused.Add(3 * time.Second))) // the length of the pause is what is tried
+	if err := f.Process(2).Resume(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 5*time.Second, func() error {
+		return all(f, -1, func(i int) error { return f.Holds(ctx, i, 2, membership.Alive) })
+	})
+	after, err := f.Members(ctx, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if is, _ := after.Get("n2"); is.Incarnation <= was.Incarnation || is.Run != was.Run {
+		t.Errorf("it denied nothing: %+v, and before %+v", is, was)
+	}
+	if lines := declared(f); len(lines) > 0 {
+		t.Errorf("declared dead: %s", lines)
+	}
+}
+
+// With a fifth of all packets lost nobody who runs is declared dead, over a minute.
+func TestPacketsLost(t *testing.T) {
+	t.Parallel()
+	f, ctx := cluster(t, lab.Settings{Marshals: 5, Seed: 2})
+	f.Rules.All(faultnet.Rule{Drop: 0.2})
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(time.Second) { // the minute is what is tried
+		if lines := declared(f); len(lines) > 0 {
+			t.Fatalf("declared dead: %s", lines)
+		}
+	}
+	f.Rules.Heal()
+	await(t, ctx, 10*time.Second, func() error { return f.Agree(ctx) })
+}
+
+// One that does not hear another any more gets nobody to declare that one dead, nor does it do so itself.
+func TestOneSidedCut(t *testing.T) {
+	t.Parallel()
+	f, ctx := cluster(t, lab.Settings{Marshals: 5, Seed: 3})
+	f.Rules.Cut(faultnet.Link{From: "n0", To: "n1"}, true) // n1 does not hear n0
+	time.Sleep(20 * time.Second)                           // more than twice the bound; nothing is to happen meanwhile
+	if lines := declared(f); len(lines) > 0 {
+		t.Errorf("declared dead: %s", lines)
+	}
+	for i := range f.Names() {
+		if err := f.Holds(ctx, i, 0, membership.Alive); i != 1 && err != nil {
+			t.Error(err)
+		}
+	}
+	f.Rules.Heal()
+	await(t, ctx, 10*time.Second, func() error { return f.Agree(ctx) })
+}
+
+// One that is killed is declared dead by all within the bound, and started again is alive under a higher incarnation. One
+// that is asked to leave is known to have left at once.
+func TestKilledAndBack(t *testing.T) {
+	t.Parallel()
+	f, ctx := cluster(t, lab.Settings{Marshals: 5, Seed: 4, Key: "a key of the fleet's own"})
+	before, err := f.Members(ctx, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	was, _ := before.Get("n3")
+	if err := f.Process(3).Kill(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 9*time.Second, func() error {
+		return all(f, 3, func(i int) error { return f.Holds(ctx, i, 3, membership.Dead) })
+	})
+	if err := f.Process(3).Start(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 5*time.Second, func() error { return f.Agree(ctx) })
+	after, err := f.Members(ctx, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if is, _ := after.Get("n3"); is.Incarnation <= was.Incarnation || is.Run == was.Run {
+		t.Errorf("after its restart %+v, and before %+v", is, was)
+	}
+	if err := f.Process(4).Leave(ctx); err != nil {
+		t.Error(err)
+	}
+	await(t, ctx, 2*time.Second, func() error {
+		return all(f, 4, func(i int) error { return f.Holds(ctx, i, 4, membership.Left) })
+	})
+}
+
+// Five marshals under faults drawn from a seed: afterwards all views are the same.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{5, 6} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f, ctx := cluster(t, lab.Settings{Marshals: 5, Seed: seed})
+			script := faultnet.Random(seed, f.Names(), 25*time.Second, 30, 2)
+			t.Logf("script:\n%v", script)
+			if err := f.Scene().Play(ctx, script); err != nil {
+				t.Fatal(err)
+			}
+			await(t, ctx, 30*time.Second, func() error { return f.Agree(ctx) })
+		})
+	}
+}
+
+// What strangers send to the membership's port does no harm and does not end the marshal.
+func TestStrangersAtTheMembersPort(t *testing.T) {
+	t.Parallel()
+	f, ctx := cluster(t, lab.Settings{Marshals: 2, Seed: 7, Key: "a key of the fleet's own"})
+	stranger := membership.Codec{Cluster: "lab", Key: []byte("another key, as long as it is")}
+	lie := &membership.Packet{Kind: membership.Gossip, From: "n9", Address: "127.0.0.1:1", Incarnation: 1,
+		Updates: []membership.Update{{Name: "n1", Address: "127.0.0.1:1", State: membership.Dead, Incarnation: 1 << 61}}}
+	raw, err := stranger.Encode(lie)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, packet := range [][]byte{raw, []byte("noise"), make([]byte, 4000), {}, raw[:len(raw)/2]} {
+		if err := sendUDP(f.Front(0), packet); err != nil {
+			t.Fatal(err)
+		}
+	}
+	await(t, ctx, 5*time.Second, func() error {
+		m, err := f.Members(ctx, 0)
+		if err != nil {
+			return err
+		}
+		if m.Counters.Refused < 5 {
+			return fmt.Errorf("%d packets refused", m.Counters.Refused)
+		}
+		if len(m.Members) != 2 {
+			t.Errorf("members: %+v", m.Members)
+		}
+		return nil
+	})
+	if err := f.Agree(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+func sendUDP(to string, packet []byte) error {
+	c, err := net.Dial("udp", to)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_, err = c.Write(packet)
+	return err
+}
--- /dev/null
+++ b/cmd/ottershed/fleet.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"ottershed/internal/admin"
+	"ottershed/internal/clock"
+	"ottershed/internal/config"
+	"ottershed/internal/membership"
+	"ottershed/internal/peers"
+)
+
+// fleet is what a marshal shares with others of its fleet, and shows its operator. Without an operator's file it is
+// empty, and the marshal shares nothing.
+type fleet struct {
+	log     logrus.FieldLogger
+	peers   *peers.Peers // nil: off
+	admin   *admin.Server
+	listens net.Listener // of admin; nil: none
+}
+
+// membersAnswer is what `ottershed members` prints.
+type membersAnswer struct {
+	*membership.View
+	Counters peers.Counters `json:"counters"`
+}
+
+// newFleet opens what the operator's file switches on.
+func newFleet(cfg *config.Config, c *clock.Clock, log logrus.FieldLogger) (*fleet, error) {
+	f := &fleet{log: log}
+	o := cfg.Operator
+	if o == nil {
+		return f, nil
+	}
+	var err error
+	if o.Admin != "" {
+		f.admin = admin.New()
+		if f.listens, err = net.Listen("tcp", o.Admin); err != nil {
+			return nil, fmt.Errorf("admin.listen: %w", err)
+		}
+	}
+	if o.Membership != nil {
+		if f.peers, err = peers.Listen(*o.Membership, c, log); err != nil {
+			return nil, err
+		}
+		log.WithFields(logrus.Fields{"bind": o.Membership.Bind, "advertise": o.Membership.Membership.Address,
+			"cluster": o.Membership.Codec.Cluster, "seeds": len(o.Membership.Membership.Seeds)}).Info("membership on")
+		if f.admin != nil {
+			f.admin.Get("/members", func() any { return membersAnswer{f.peers.View(), f.peers.Counters()} })
+		}
+	}
+	return f, nil
+}
+
+// run runs its parts until ctx ends.
+func (f *fleet) run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	if f.peers != nil {
+		running.Go(func() { f.peers.Run(ctx) })
+	}
+	if f.listens != nil {
+		running.Go(func() {
+			if err := f.admin.Run(ctx, f.listens); err != nil {
+				f.log.WithError(err).Error("admin ended")
+			}
+		})
+	}
+}
+
+// leave tells the others that this marshal goes; it is called once.
+func (f *fleet) leave(ctx context.Context) {
+	if f.peers != nil {
+		f.peers.Leave(ctx)
+	}
+}
--- a/cmd/ottershed/main.go
+++ b/cmd/ottershed/main.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"ottershed/internal/admin"
 	"ottershed/internal/config"
 )
 
@@ -42,13 +43,19 @@
 			_, err := logrus.ParseLevel(text)
 			return err
 		}}
+	operator := &cli.StringFlag{Name: "operator", Usage: "the operator's own `FILE`; without it all that it can switch on is off",
+		Sources: cli.EnvVars("OTTERSHED_OPERATOR")}
+	at := &cli.StringFlag{Name: "at", Usage: "the marshal's admin `ADDRESS`, admin.listen in the operator's file",
+		Sources: cli.EnvVars("OTTERSHED_ADMIN"), Required: true}
 	wrong := func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 		return fmt.Errorf("%w: %w; see --help", errUsage, err)
 	}
 	commands := []*cli.Command{
-		{Name: "serve", Usage: "run a marshal until SIGTERM", Flags: []cli.Flag{file, level}, Action: serve},
+		{Name: "serve", Usage: "run a marshal until SIGTERM", Flags: []cli.Flag{file, operator, level}, Action: serve},
 		{Name: "check-config", Usage: "read and check a configuration as serve does, and print what holds",
-			Flags: []cli.Flag{file}, Action: checkConfig},
+			Flags: []cli.Flag{file, operator}, Action: checkConfig},
+		{Name: "members", Usage: "print whom a running marshal holds for alive, suspect, dead or left, as JSON",
+			Flags: []cli.Flag{at}, Action: members},
 		{Name: "version", Usage: "print the version", Action: printVersion},
 	}
 	for _, c := range commands {
@@ -71,7 +78,7 @@
 
 // checkConfig prints what would hold for serve.
 func checkConfig(_ context.Context, cmd *cli.Command) error {
-	cfg, err := config.Read(cmd.String("config"), os.Getenv)
+	cfg, err := readConfig(cmd)
 	if err != nil {
 		return err
 	}
@@ -79,9 +86,36 @@
 		fmt.Fprintln(cmd.Root().ErrWriter, "warning:", w)
 	}
 	fmt.Fprint(cmd.Root().Writer, cfg)
+	if cfg.Operator != nil {
+		fmt.Fprint(cmd.Root().Writer, cfg.Operator)
+	}
 	return nil
 }
 
+// readConfig reads the configuration, and the operator's file where one is given.
+func readConfig(cmd *cli.Command) (*config.Config, error) {
+	cfg, err := config.Read(cmd.String("config"), os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	if file := cmd.String("operator"); file != "" {
+		if cfg.Operator, err = config.ReadOperator(file, cfg.Name); err != nil {
+			return nil, err
+		}
+	}
+	return cfg, nil
+}
+
+// members prints a running marshal's view.
+func members(ctx context.Context, cmd *cli.Command) error {
+	raw, err := admin.Ask(ctx, cmd.String("at"), "/members", nil)
+	if err != nil {
+		return err
+	}
+	_, err = cmd.Root().Writer.Write(raw)
+	return err
+}
+
 func printVersion(_ context.Context, cmd *cli.Command) error {
 	revision := ""
 	if info, ok := debug.ReadBuildInfo(); ok {
--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -32,7 +32,7 @@
 const grace = 600 * time.Millisecond
 
 func serve(ctx context.Context, cmd *cli.Command) error {
-	cfg, err := config.Read(cmd.String("config"), os.Getenv)
+	cfg, err := readConfig(cmd)
 	if err != nil {
 		return err
 	}
@@ -109,7 +109,11 @@
 			log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform}).Info("configuration taken")
 		}
 	}
-	for _, part := range []func(context.Context){m.Run, pool.Run, release.Run, follower.Run, reload} {
+	group, err := newFleet(cfg, c, log)
+	if err != nil {
+		return err
+	}
+	for _, part := range []func(context.Context){group.run, m.Run, pool.Run, release.Run, follower.Run, reload} {
 		running.Go(func() { part(ctx) })
 	}
 
@@ -123,6 +127,7 @@
 	case sig := <-stop:
 		log.WithField("signal", sig.String()).Info("leaving")
 	}
+	group.leave(ctx)
 	if err := f.Leave(grace); err != nil {
 		return fmt.Errorf("leave: %w", err)
 	}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,126 @@
+// Package admin answers the operator's questions to a running marshal, on loopback only: what `ottershed members` and its
+// like ask. It is no front: no hit comes here.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+const (
+	inTime      = 5 * time.Second
+	longestHead = 4 << 10
+	longestBody = 4 << 20 // of an answer that Ask takes, and of a question
+)
+
+// Server answers on one listener.
+type Server struct {
+	mux    *http.ServeMux
+	server *http.Server
+}
+
+// New makes a server without answers.
+func New() *Server {
+	mux := http.NewServeMux()
+	return &Server{mux: mux, server: &http.Server{Handler: mux, ReadTimeout: inTime, WriteTimeout: 4 * inTime,
+		IdleTimeout: inTime, MaxHeaderBytes: longestHead, ErrorLog: log.New(io.Discard, "", 0)}}
+}
+
+// Get has a path answered with what show returns, as JSON.
+func (s *Server) Get(path string, show func() any) {
+	s.mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, show()) })
+}
+
+// fault is an answer that says what is wrong.
+type fault struct {
+	Error string `json:"error"`
+}
+
+// Post has a path take a body and answer with what do returns; an error is the caller's to mend, and its text is told.
+func (s *Server) Post(path string, do func(ctx context.Context, body []byte) (any, error)) {
+	s.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, longestBody))
+		if err != nil {
+			write(w, http.StatusRequestEntityTooLarge, fault{err.Error()})
+			return
+		}
+		answer, err := do(r.Context(), body)
+		if err != nil {
+			write(w, http.StatusConflict, fault{err.Error()})
+			return
+		}
+		write(w, http.StatusOK, answer)
+	})
+}
+
+func write(w http.ResponseWriter, status int, answer any) {
+	raw, err := json.MarshalIndent(answer, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(raw, '\n'))
+}
+
+// Check tells whether an address may be listened on: one of this machine's own only, for the answers are for nobody else.
+func Check(address string) error {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil || at.Port() == 0 {
+		return fmt.Errorf("want ip:port, got %q", address)
+	}
+	if !at.Addr().IsLoopback() {
+		return fmt.Errorf("want an address of loopback, got %q", address)
+	}
+	return nil
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	ended := context.AfterFunc(ctx, func() { s.server.Close() })
+	defer ended()
+	if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("admin: %w", err)
+	}
+	return nil
+}
+
+// Ask asks the marshal whose admin address is given: with a body a POST, without a GET. The answer is JSON.
+func Ask(ctx context.Context, address, path string, body []byte) ([]byte, error) {
+	method := http.MethodGet
+	if body != nil {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", address, err)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, longestBody))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", address, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		var f fault
+		if json.Unmarshal(raw, &f) == nil && f.Error != "" {
+			return nil, fmt.Errorf("%s: %s", address, f.Error)
+		}
+		return nil, fmt.Errorf("ask %s%s: %s", address, path, res.Status)
+	}
+	return raw, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,7 @@
 	Known     *marshal.List    // the nodes as last held; nil: none
 	News      *logic.StageNews // the newest build; nil: none
 	Warnings  []string         // what is odd but does no harm
+	Operator  *Operator        // the operator's own file; nil: none
 }
 
 // Limits are what the machine gives.
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,170 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"ottershed/internal/admin"
+	"ottershed/internal/membership"
+	"ottershed/internal/peers"
+)
+
+// Operator is what the operator's own file says, beside what the platform hands over. Nothing in it is on by itself.
+type Operator struct {
+	Admin      string        // ip:port of loopback; empty: none
+	Membership *peers.Config // nil: off
+}
+
+// spanOf reads a length of time, "4s" or "250ms", in milliseconds. Danger: a plain number could be taken for any unit.
+func spanOf(key, text string) (float64, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, fmt.Errorf("%s: want a time like 4s or 250ms, got %q", key, text)
+	}
+	return float64(d) / float64(time.Millisecond), nil
+}
+
+type operatorFile struct {
+	Admin struct {
+		Listen string `toml:"listen"`
+	} `toml:"admin"`
+	Membership struct {
+		Enabled      bool   `toml:"enabled"`
+		Cluster      string `toml:"cluster"`
+		Bind         string `toml:"bind"`
+		Advertise    string `toml:"advertise"`
+		KeyFile      string `toml:"key-file"`
+		BearPause    string `toml:"bear-pause"`
+		DetectWithin string `toml:"detect-within"`
+		MostMembers  int    `toml:"most-members"`
+		Seeds        []struct {
+			Name    string `toml:"name"`
+			Address string `toml:"address"`
+		} `toml:"seeds"`
+	} `toml:"membership"`
+}
+
+// ReadOperator reads the operator's file for the marshal of that name. An error names the key at fault, and the line
+// where the file itself can't be read. Paths in it are relative to the file.
+func ReadOperator(path, name string) (*Operator, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	var f operatorFile
+	m := &f.Membership
+	m.BearPause, m.DetectWithin, m.MostMembers = "4s", "12s", 4096
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return nil, fmt.Errorf("operator's file %s: %w", path, inFile(err))
+	}
+	o := &Operator{Admin: f.Admin.Listen}
+	if o.Admin != "" {
+		if err := admin.Check(o.Admin); err != nil {
+			return nil, fmt.Errorf("operator's file %s: admin.listen: %w", path, err)
+		}
+	}
+	if !m.Enabled {
+		return o, nil
+	}
+	if o.Membership, err = f.membership(path, name); err != nil {
+		return nil, fmt.Errorf("operator's file %s: %w", path, err)
+	}
+	return o, nil
+}
+
+// inFile says where the file is wrong.
+func inFile(err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+		first := unknown.Errors[0]
+		line, _ := first.Position()
+		return fmt.Errorf("line %d: %s: not a key that is known", line, strings.Join(first.Key(), "."))
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, _ := wrong.Position()
+		if key := strings.Join(wrong.Key(), "."); key != "" {
+			return fmt.Errorf("line %d: %s: %w", line, key, err)
+		}
+		return fmt.Errorf("line %d: %w", line, err)
+	}
+	return err
+}
+
+func (f *operatorFile) membership(path, name string) (*peers.Config, error) {
+	m := &f.Membership
+	own, seeds := "", []membership.Seed(nil)
+	for _, s := range m.Seeds {
+		if s.Name == name {
+			own = s.Address
+		}
+		seeds = append(seeds, membership.Seed{Name: membership.Name(s.Name), Address: s.Address})
+	}
+	advertise := cmp.Or(m.Advertise, own, m.Bind)
+	if advertise == "" {
+		return nil, fmt.Errorf("membership.bind: missing, and membership.seeds names no %q", name)
+	}
+	c := &peers.Config{Bind: cmp.Or(m.Bind, advertise), Codec: membership.Codec{Cluster: m.Cluster},
+		Membership: membership.Settings{Name: membership.Name(name), Address: advertise, Seeds: seeds,
+			MostMembers: m.MostMembers}}
+	var err error
+	if c.Membership.BearPause, err = spanOf("membership.bear-pause", m.BearPause); err != nil {
+		return nil, err
+	}
+	if c.Membership.DetectWithin, err = spanOf("membership.detect-within", m.DetectWithin); err != nil {
+		return nil, err
+	}
+	if m.KeyFile != "" {
+		key := m.KeyFile
+		if !filepath.IsAbs(key) {
+			key = filepath.Join(filepath.Dir(path), key)
+		}
+		raw, err := os.ReadFile(key)
+		if err != nil {
+			return nil, fmt.Errorf("membership.key-file: %w", err)
+		}
+		if c.Codec.Key = bytes.TrimSpace(raw); len(c.Codec.Key) == 0 {
+			return nil, fmt.Errorf("membership.key-file: %s is empty", key)
+		}
+	}
+	if len(seeds) == 0 {
+		return nil, errors.New("membership.seeds: missing")
+	}
+	if err := c.Membership.Check(); err != nil {
+		return nil, err
+	}
+	if err := c.Codec.Check(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// String tells what holds of the operator's file.
+func (o *Operator) String() string {
+	lines := [][2]string{{"admin.listen", cmp.Or(o.Admin, "none")}, {"membership", "off"}}
+	if c := o.Membership; c != nil {
+		sealed := "packets not sealed"
+		if len(c.Codec.Key) > 0 {
+			sealed = "packets sealed"
+		}
+		lines[1][1] = fmt.Sprintf("cluster %q, %s, %d seeds", c.Codec.Cluster, sealed, len(c.Membership.Seeds))
+		lines = append(lines, [][2]string{{"membership.bind", c.Bind}, {"membership.advertise", c.Membership.Address},
+			{"membership.bear-pause", fmt.Sprintf("%g ms", c.Membership.BearPause)},
+			{"membership.detect-within", fmt.Sprintf("%g ms", c.Membership.DetectWithin)}}...)
+	}
+	var b strings.Builder
+	for _, l := range lines {
+		fmt.Fprintf(&b, "%-23s %s\n", l[0], l[1])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/faultnet/die_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package faultnet
+
+import "syscall"
+
+func dieWithParent() *syscall.SysProcAttr { return nil }
--- /dev/null
+++ b/internal/faultnet/rules.go
@@ -0,0 +1,122 @@
+// Package faultnet puts faults between processes on loopback: relays that stand in front of each process lose, delay,
+// double and cut what passes, and processes are stalled, killed and started again, by a script or by a seed. The decision
+// what becomes of a packet is Rules', free of I/O: the same seed gives the same fates, packet by packet of a link.
+package faultnet
+
+import (
+	"hash/crc32"
+	"sync"
+	"time"
+
+	"ottershed/internal/stats"
+)
+
+// Link is one direction between two processes, by their names.
+type Link struct{ From, To string }
+
+// Rule is what befalls packets of a link.
+type Rule struct {
+	Cut    bool    // nothing passes
+	Drop   float64 // share that is lost
+	Twice  float64 // share that comes twice
+	Delay  time.Duration
+	Jitter time.Duration // added, drawn evenly; packets may pass each other
+}
+
+// Fate is what becomes of one packet.
+type Fate struct {
+	Copies int // 0: lost
+	Delay  time.Duration
+}
+
+// Rules hold the rule of each link. They may be used by many at once.
+type Rules struct {
+	seed uint64
+
+	mu    sync.Mutex
+	all   Rule
+	links map[Link]*link
+}
+
+type link struct {
+	rule   *Rule // nil: that of all
+	cut    bool
+	chance stats.Chance
+}
+
+// NewRules makes rules under which all passes.
+func NewRules(seed uint64) *Rules { return &Rules{seed: seed, links: map[Link]*link{}} }
+
+func (r *Rules) at(l Link) *link {
+	at := r.links[l]
+	if at == nil {
+		at = &link{chance: stats.Chance{Seed: r.seed<<32 ^ uint64(crc32.ChecksumIEEE([]byte(l.From+"\x00"+l.To)))}}
+		r.links[l] = at
+	}
+	return at
+}
+
+// All sets the rule of links that have none of their own.
+func (r *Rules) All(rule Rule) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = rule
+}
+
+// Set gives a link a rule of its own.
+func (r *Rules) Set(l Link, rule Rule) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at(l).rule = &rule
+}
+
+// Cut has nothing pass on a link, or lets it pass again by its rule.
+func (r *Rules) Cut(l Link, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at(l).cut = on
+}
+
+// Heal takes all rules and cuts away.
+func (r *Rules) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = Rule{}
+	for _, l := range r.links {
+		l.rule, l.cut = nil, false
+	}
+}
+
+// Of is the rule that holds for a link now.
+func (r *Rules) Of(l Link) Rule {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of(r.at(l))
+}
+
+func (r *Rules) of(l *link) Rule {
+	rule := r.all
+	if l.rule != nil {
+		rule = *l.rule
+	}
+	rule.Cut = rule.Cut || l.cut
+	return rule
+}
+
+// Next draws the fate of a link's next packet.
+func (r *Rules) Next(l Link) Fate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.at(l)
+	rule := r.of(at)
+	// Danger: drawn only where a rule asks for it, a packet's fate would hang on what held for those before it.
+	lost, twice, late := at.chance.Next(), at.chance.Next(), at.chance.Next()
+	if rule.Cut || lost < rule.Drop {
+		return Fate{}
+	}
+	f := Fate{Copies: 1, Delay: rule.Delay + time.Duration(late*float64(rule.Jitter))}
+	if twice < rule.Twice {
+		f.Copies = 2
+	}
+	return f
+}
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,242 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"ottershed/internal/admin"
+	"ottershed/internal/faultnet"
+	"ottershed/internal/membership"
+	"ottershed/internal/peers"
+)
+
+// Settings say what fleet is started.
+type Settings struct {
+	Dir      string   // for files and logs; it has to be there
+	Program  string   // path of ottershed
+	Env      []string // for the program
+	Marshals int
+	Seed     uint64 // of the faults
+	Town     *Town
+
+	BearPause    time.Duration
+	DetectWithin time.Duration
+	Seeds        int    // the first so many marshals are seeds; 0: all
+	Key          string // packets are sealed with it; empty: not
+	Extra        string // more text for each operator's file; %NAME% and %HOST% stand for the marshal's own
+}
+
+// Fleet is several marshal processes on loopback, each with an address of its own, and a relay in front of each.
+type Fleet struct {
+	set     Settings
+	Rules   *faultnet.Rules
+	packets *faultnet.Packets
+	names   []string
+	hosts   []netip.Addr
+	fronts  []string
+	process map[string]*faultnet.Process
+}
+
+// Ports that each marshal has at its own address of loopback.
+const (
+	hitPort    = 8080
+	adminPort  = 8081
+	memberPort = 7946
+)
+
+// fleets numbers the fleets of this process: each has a net of its own in 127.0.0.0/8, and so no port is ever asked of the
+// kernel that another might take meanwhile.
+var fleets atomic.Int64
+
+// New writes the files of a fleet and sets up its relays; Start starts its processes.
+func New(set Settings) (*Fleet, error) {
+	if set.Marshals < 1 || set.Marshals > 200 {
+		return nil, fmt.Errorf("lab: want 1 to 200 marshals, got %d", set.Marshals)
+	}
+	f := &Fleet{set: set, Rules: faultnet.NewRules(set.Seed), process: map[string]*faultnet.Process{}}
+	f.packets = faultnet.NewPackets(f.Rules)
+	net := byte(fleets.Add(1))
+	own := byte(10 + os.Getpid()%200)
+	for i := range set.Marshals {
+		f.names = append(f.names, fmt.Sprintf("n%d", i))
+		f.hosts = append(f.hosts, netip.AddrFrom4([4]byte{127, own, net, byte(i + 1)}))
+		front, err := f.packets.Front(f.names[i], f.at(i, memberPort))
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.fronts = append(f.fronts, front)
+	}
+	for i := range set.Marshals {
+		if err := f.write(i); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) at(i, port int) string { return netip.AddrPortFrom(f.hosts[i], uint16(port)).String() }
+
+// Names are the marshals' names.
+func (f *Fleet) Names() []string { return f.names }
+
+// Process is a marshal's process.
+func (f *Fleet) Process(i int) *faultnet.Process { return f.process[f.names[i]] }
+
+// Admin is a marshal's admin address.
+func (f *Fleet) Admin(i int) string { return f.at(i, adminPort) }
+
+// Listen is where a marshal takes hits.
+func (f *Fleet) Listen(i int) string { return f.at(i, hitPort) }
+
+// Front is where others reach a marshal's membership.
+func (f *Fleet) Front(i int) string { return f.fronts[i] }
+
+// Scene is what scripts play on.
+func (f *Fleet) Scene() *faultnet.Scene { return &faultnet.Scene{Rules: f.Rules, Processes: f.process} }
+
+// File is the path of one of a marshal's files.
+func (f *Fleet) File(i int, kind string) string {
+	return filepath.Join(f.set.Dir, f.names[i]+"."+kind)
+}
+
+// settings of the marshals: three marshals' figures from the documented example, with times that suit loopback.
+const marshalSettings = `{"n-instances":%d,"zone":"z","limits":{"most-tries":5,"cancel":true,"retry-after":true,
+"max-retry-after-ms":50,"conn-idle-ms":30000,"connect-timeout-ms":250},"rules":{"cold-from":0.35,"warm-after-ms":1000,
+"overload-factor":3,"overload-for-ms":1000,"answer-slack-ms":20},"domain":{"caps":[0.3,1],"waves":[0.3,1],"uncounted":1,
+"guarded-stages":0,"keys-stay":false,"on-votes":1,"votes-to-revert":1,"vote-wait-ms":300,"vote-ttl-ms":3000},"services":[
+{"name":"read","aim-ms":200,"give-up-ms":1000,"idempotency":"safe"},
+{"name":"send-text","aim-ms":200,"give-up-ms":1000,"idempotency":"unsafe"}]}`
+
+// write writes a marshal's two files.
+func (f *Fleet) write(i int) error {
+	name := f.names[i]
+	config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"platform":{"address":%q},"settings":%s}`, name, f.Listen(i), f.set.Town.Discovery(), f.set.Seed*1000+uint64(i)+1,
+		f.set.Town.Desk().Address(), fmt.Sprintf(marshalSettings, f.set.Marshals))
+	var seeds strings.Builder
+	for s := range f.names {
+		if f.set.Seeds == 0 || s < f.set.Seeds {
+			fmt.Fprintf(&seeds, "[[membership.seeds]]\nname = %q\naddress = %q\n", f.names[s], f.fronts[s])
+		}
+	}
+	key := ""
+	if f.set.Key != "" {
+		path := filepath.Join(f.set.Dir, "key")
+		if err := os.WriteFile(path, []byte(f.set.Key+"\n"), 0o600); err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
+		key = "key-file = \"key\"\n"
+	}
+	extra := strings.NewReplacer("%NAME%", name, "%HOST%", f.hosts[i].String()).Replace(f.set.Extra)
+	operator := fmt.Sprintf("[admin]\nlisten = %q\n\n[membership]\nenabled = true\ncluster = \"lab\"\nbind = %q\nadvertise = %q\n"+
+		"%sbear-pause = %q\ndetect-within = %q\n%s\n%s", f.Admin(i), f.at(i, memberPort), f.fronts[i], key,
+		f.set.BearPause.String(), f.set.DetectWithin.String(), seeds.String(), extra)
+	for kind, text := range map[string]string{"json": config, "toml": operator} {
+		if err := os.WriteFile(f.File(i, kind), []byte(text), 0o600); err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
+	}
+	f.process[name] = &faultnet.Process{Name: name, Path: f.set.Program, Env: f.set.Env, Log: f.File(i, "log"),
+		Args: []string{"serve", "--config", f.File(i, "json"), "--operator", f.File(i, "toml")}}
+	return nil
+}
+
+// Start starts all marshals.
+func (f *Fleet) Start() error {
+	for i := range f.names {
+		if err := f.Process(i).Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close kills what still runs and ends the relays.
+func (f *Fleet) Close() {
+	for _, p := range f.process {
+		if p.Running() {
+			p.Kill()
+		}
+	}
+	f.packets.Close()
+}
+
+// Members is a marshal's answer to `ottershed members`.
+type Members struct {
+	membership.View
+	Counters peers.Counters `json:"counters"`
+}
+
+// Members asks a marshal for its view.
+func (f *Fleet) Members(ctx context.Context, i int) (*Members, error) {
+	raw, err := admin.Ask(ctx, f.Admin(i), "/members", nil)
+	if err != nil {
+		return nil, err
+	}
+	m := &Members{}
+	if err := json.Unmarshal(raw, m); err != nil {
+		return nil, fmt.Errorf("members of %s: %w", f.names[i], err)
+	}
+	return m, nil
+}
+
+// Until asks again and again until ok says nil, and returns its last error where ctx ends first.
+func Until(ctx context.Context, ok func() error) error {
+	every := time.NewTicker(10 * time.Millisecond)
+	defer every.Stop()
+	for {
+		err := ok()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		case <-every.C:
+		}
+	}
+}
+
+// Holds tells whether a marshal holds another for being in a state; the error says what it holds.
+func (f *Fleet) Holds(ctx context.Context, of, whom int, want membership.State) error {
+	m, err := f.Members(ctx, of)
+	if err != nil {
+		return err
+	}
+	line, known := m.Get(membership.Name(f.names[whom]))
+	if !known || line.State != want {
+		return fmt.Errorf("%s holds %s for %v, known %v, want %v", f.names[of], f.names[whom], line.State, known, want)
+	}
+	return nil
+}
+
+// Agree tells whether all that run hold the same: all that run alive, and nobody else.
+func (f *Fleet) Agree(ctx context.Context) error {
+	for i := range f.names {
+		if !f.Process(i).Running() {
+			continue
+		}
+		m, err := f.Members(ctx, i)
+		if err != nil {
+			return err
+		}
+		for j, name := range f.names {
+			line, known := m.Get(membership.Name(name))
+			runs := f.Process(j).Running()
+			if runs && (!known || line.State != membership.Alive) || !runs && known && line.State <= membership.Suspect {
+				return fmt.Errorf("%s holds %s for %v, known %v; it runs: %v", f.names[i], name, line.State, known, runs)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,113 @@
+package membership
+
+import "slices"
+
+// probeNext probes the next member in turn: a round meets each of them once.
+func (d *Detector) probeNext() {
+	for range 2 {
+		for m := d.walk.next(d.table); m != nil; m = d.walk.next(d.table) {
+			if m.Name != d.set.Name && m.State <= Suspect {
+				d.ping(m, false)
+				return
+			}
+		}
+		d.walk = d.newWalk()
+	}
+}
+
+// ping sends a probe. A member that doubts itself waits longer.
+func (d *Detector) ping(m *member, check bool) {
+	if len(d.probes) >= mostProbes {
+		return
+	}
+	d.seq++
+	f := d.health.factor()
+	d.probes = append(d.probes, &probe{seq: d.seq, target: m.Name, check: check, direct: d.now + d.pace.direct*f,
+		until: d.now + d.pace.period*f})
+	d.send(m, Packet{Kind: Ping, Seq: d.seq, Target: m.Name})
+}
+
+// probesDue asks others where a ping has no answer, and accuses where they got none either.
+func (d *Detector) probesDue() {
+	var failed []*probe
+	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool {
+		over := p.answered || d.now >= p.until
+		if over && !p.answered {
+			failed = append(failed, p)
+		}
+		return over
+	})
+	for _, p := range d.probes {
+		if m := d.table.get(p.target); m != nil && !p.asked && d.now >= p.direct {
+			p.asked = true
+			for _, other := range d.some(relaysAsked, func(o *member) bool { return o.State == Alive && o.Name != p.target }) {
+				p.relays++
+				d.send(other, Packet{Kind: PingReq, Seq: p.seq, Target: p.target, TargetAt: m.Address})
+			}
+		}
+	}
+	for _, p := range failed {
+		// Danger: a member whose own machine is slow or cut off would accuse all others in turn. Those who were asked and
+		// did not even say that they got no answer are as silent to it as the one probed: that is a sign against itself.
+		if missing := p.relays - p.nacks; missing > 0 {
+			d.health.worse(missing)
+		} else if p.relays == 0 {
+			d.health.worse(1)
+		}
+		if m := d.table.get(p.target); m != nil {
+			d.accuse(m.Name, m.Incarnation, d.set.Name)
+		}
+	}
+}
+
+// acked takes the answer to a probe, or hands it on to the one it was for.
+func (d *Detector) acked(p *Packet) {
+	for _, probe := range d.probes {
+		if probe.seq == p.Seq && probe.target == p.Target {
+			probe.answered = true
+			d.health.better()
+			// Word of a third that it hears the suspect counts, too: a cut in one direction is not its death.
+			if m := d.table.get(p.Target); m != nil && m.State == Suspect {
+				d.table.write(m.Name).heard = d.now
+			}
+			return
+		}
+	}
+	for i, r := range d.relays {
+		if r.seq == p.Seq && r.target == p.Target && p.From == r.target {
+			d.relays = slices.Delete(d.relays, i, i+1)
+			d.sendTo(r.to, nil, Packet{Kind: Ack, Seq: r.theirs, Target: r.target})
+			return
+		}
+	}
+}
+
+// relay pings for another.
+func (d *Detector) relay(p *Packet) {
+	if len(d.relays) >= mostRelays || p.Target == d.set.Name {
+		return
+	}
+	d.seq++
+	d.relays = append(d.relays, relay{seq: d.seq, theirs: p.Seq, to: p.Address, target: p.Target,
+		nack: d.now + d.pace.direct, until: d.now + d.pace.period})
+	d.sendTo(p.TargetAt, d.table.get(p.Target), Packet{Kind: Ping, Seq: d.seq, Target: p.Target})
+}
+
+// relaysDue says that the one asked for did not answer.
+func (d *Detector) relaysDue() {
+	d.relays = slices.DeleteFunc(d.relays, func(r relay) bool { return d.now >= r.until })
+	for i := range d.relays {
+		if r := &d.relays[i]; !r.nacked && d.now >= r.nack {
+			r.nacked = true
+			d.sendTo(r.to, nil, Packet{Kind: Nack, Seq: r.theirs, Target: r.target})
+		}
+	}
+}
+
+// health is a member's doubt in itself (Lifeguard's local health awareness): 0 for none. It stretches the member's own
+// probing, so that one that is slow does not accuse the healthy.
+type health int
+
+func (h *health) worse(by int)   { *h = min(mostHealth, *h+health(by)) }
+func (h *health) better()        { *h = max(0, *h-1) }
+func (h health) factor() float64 { return 1 + float64(h) }
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,89 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Member is one line of a view.
+type Member struct {
+	Name        Name        `json:"name"`
+	Address     string      `json:"address"`
+	State       State       `json:"state"`
+	Incarnation Incarnation `json:"incarnation"`
+	Run         RunID       `json:"run,string"`
+	Since       Millis      `json:"since_ms"`     // in this state, Unix
+	By          Name        `json:"by,omitempty"` // who accuses it
+}
+
+// View is what a member holds of all, itself included. It does not change.
+type View struct {
+	Self       Name     `json:"self"`
+	At         Millis   `json:"at_ms"`                   // Unix
+	Health     int      `json:"health"`                  // its doubt in itself, 0 to 8
+	Superseded string   `json:"superseded_by,omitempty"` // the address of a newer process of its name
+	Refused    int      `json:"refused"`                 // members not taken in for want of room
+	Members    []Member `json:"members"`                 // by name
+}
+
+// View is the present view.
+func (d *Detector) View() View {
+	v := View{Self: d.set.Name, At: d.now, Health: int(d.health), Superseded: d.superseded, Refused: d.refused}
+	for i := range d.table.slots() {
+		if m := d.table.at(i); m != nil {
+			v.Members = append(v.Members, m.line())
+		}
+	}
+	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
+// Turns grows with each change of what View would show of members.
+func (d *Detector) Turns() uint64 { return d.table.turns }
+
+// Count tells how many members are in each state, without making a view.
+func (d *Detector) Count() (by [4]int) { return d.table.count }
+
+// StateOf is what is held of one member; known is false where nothing is.
+func (d *Detector) StateOf(name Name) (s State, inc Incarnation, known bool) {
+	m := d.table.get(name)
+	if m == nil {
+		return Dead, 0, false
+	}
+	return m.State, m.Incarnation, true
+}
+
+// Get is a member's line; false where it is not known.
+func (v *View) Get(name Name) (Member, bool) {
+	i, found := slices.BinarySearchFunc(v.Members, name, func(m Member, n Name) int { return cmp.Compare(m.Name, n) })
+	if !found {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Present are the names of those that are alive or suspected, in order.
+func (v *View) Present() []Name {
+	var out []Name
+	for _, m := range v.Members {
+		if m.State <= Suspect {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
+func (m *member) line() Member {
+	return Member{Name: m.Name, Address: m.Address, State: m.State, Incarnation: m.Incarnation, Run: m.Run,
+		Since: m.since, By: m.By}
+}
+
+func (d *Detector) change(m *member, was State, fresh bool) {
+	if d.started {
+		if fresh {
+			m = d.table.write(m.Name)
+			m.since = d.now
+		}
+		d.out.Changes = append(d.out.Changes, Change{At: d.now, Was: was, New: fresh, Member: m.line()})
+	}
+}
