--- /dev/null
+++ b/cmd/otterlab/main.go
@@ -0,0 +1,113 @@
+// Command otterlab runs experiments on fleets of real marshal processes on loopback, and on their decisions alone in
+// simulated time. It prints tables in Markdown and draws charts; docs/measured.md keeps what it found.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ottershed/internal/lab"
+	"ottershed/internal/membership"
+	"ottershed/internal/membership/sim"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	cmd := &cli.Command{Name: "otterlab", Usage: "experiments on fleets of marshals on loopback", HideHelpCommand: true,
+		Commands: []*cli.Command{membersCommand()}}
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "otterlab:", err)
+		os.Exit(1)
+	}
+}
+
+func membersCommand() *cli.Command {
+	return &cli.Command{Name: "members", Usage: "how soon deaths are found, how often falsely, and what that costs",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "`PATH` of ottershed", Value: "bin/ottershed"},
+			&cli.IntSliceFlag{Name: "processes", Usage: "fleets of so many real processes", Value: []int{5, 20, 50}},
+			&cli.IntSliceFlag{Name: "simulated", Usage: "fleets of so many detectors in simulated time", Value: []int{1000, 10000}},
+			&cli.IntFlag{Name: "rounds", Usage: "kills in each fleet", Value: 5},
+			&cli.FloatFlag{Name: "loss", Usage: "share of packets lost while false deaths are counted", Value: 0.2},
+			&cli.DurationFlag{Name: "watch", Usage: "how long that is", Value: time.Minute},
+			&cli.DurationFlag{Name: "bear-pause", Value: 4 * time.Second},
+			&cli.DurationFlag{Name: "detect-within", Value: 12 * time.Second},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.StringFlag{Name: "chart", Usage: "draw the times of detection to `FILE`, .svg or .png"},
+		}, Action: members}
+}
+
+func members(ctx context.Context, cmd *cli.Command) error {
+	var results []*lab.MembersResult
+	for _, n := range cmd.IntSlice("processes") {
+		r, err := processes(ctx, cmd, n)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(os.Stderr, "%d processes: %v\n", n, r.Took.Round(time.Second))
+		results = append(results, r)
+	}
+	for _, n := range cmd.IntSlice("simulated") {
+		for _, loss := range []float64{0, cmd.Float("loss")} {
+			r, err := lab.MeasureSimulated(sim.Settings{Members: n, Seeds: 3, Seed: cmd.Uint64("seed"), Loss: loss, Delay: 2,
+				BearPause: millis(cmd.Duration("bear-pause")), DetectWithin: millis(cmd.Duration("detect-within")),
+				Codec: membership.Codec{Cluster: "lab", Key: []byte("a key of sixteen bytes")}}, cmd.Int("rounds"),
+				min(millis(cmd.Duration("watch")), 10000))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(os.Stderr, "%d simulated, loss %g: %v\n", n, loss, r.Took.Round(time.Second))
+			results = append(results, r)
+		}
+	}
+	fmt.Print(lab.MembersTable(results))
+	if path := cmd.String("chart"); path != "" {
+		var lines []lab.Line
+		for _, r := range results {
+			seconds := make([]float64, len(r.Each))
+			for i, ms := range r.Each {
+				seconds[i] = ms / 1000
+			}
+			lines = append(lines, lab.Line{Name: fmt.Sprintf("%d %s, loss %.0f%%", r.Members, r.Kind, 100*lossOfDeaths(r)), Figures: seconds})
+		}
+		return lab.Shares(path, "from a kill until another declares it dead", "seconds", lines)
+	}
+	return nil
+}
+
+// lossOfDeaths is the loss under which deaths were measured: among processes there was none meanwhile.
+func lossOfDeaths(r *lab.MembersResult) float64 {
+	if r.Kind == "processes" {
+		return 0
+	}
+	return r.Loss
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func processes(ctx context.Context, cmd *cli.Command, n int) (*lab.MembersResult, error) {
+	dir, err := os.MkdirTemp("", "otterlab-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	town, err := lab.NewTown(3)
+	if err != nil {
+		return nil, err
+	}
+	defer town.Close()
+	program, err := filepath.Abs(cmd.String("program"))
+	if err != nil {
+		return nil, err
+	}
+	return lab.MeasureProcesses(ctx, lab.Settings{Dir: dir, Program: program, Marshals: n, Seed: cmd.Uint64("seed"), Town: town,
+		BearPause: cmd.Duration("bear-pause"), DetectWithin: cmd.Duration("detect-within"), Seeds: 3,
+		Key: "a key of sixteen bytes"}, cmd.Int("rounds"), cmd.Float("loss"), cmd.Duration("watch"))
+}
--- a/cmd/ottershed/fleet.go
+++ b/cmd/ottershed/fleet.go
@@ -13,13 +13,15 @@
 	"ottershed/internal/config"
 	"ottershed/internal/membership"
 	"ottershed/internal/peers"
+	"ottershed/internal/policynode"
 )
 
 // fleet is what a marshal shares with others of its fleet, and shows its operator. Without an operator's file it is
 // empty, and the marshal shares nothing.
 type fleet struct {
 	log     logrus.FieldLogger
-	peers   *peers.Peers // nil: off
+	peers   *peers.Peers     // nil: off
+	policy  *policynode.Node // nil: off
 	admin   *admin.Server
 	listens net.Listener // of admin; nil: none
 }
@@ -31,7 +33,7 @@
 }
 
 // newFleet opens what the operator's file switches on.
-func newFleet(cfg *config.Config, c *clock.Clock, log logrus.FieldLogger) (*fleet, error) {
+func newFleet(cfg *config.Config, fig *figures, c *clock.Clock, log logrus.FieldLogger) (*fleet, error) {
 	f := &fleet{log: log}
 	o := cfg.Operator
 	if o == nil {
@@ -54,6 +56,20 @@
 			f.admin.Get("/members", func() any { return membersAnswer{f.peers.View(), f.peers.Counters()} })
 		}
 	}
+	if o.Policy != nil {
+		hooks := policynode.Hooks{Check: fig.check, Run: fig.run}
+		if f.policy, err = policynode.Open(*o.Policy, hooks, c, log); err != nil {
+			return nil, err
+		}
+		log.WithFields(logrus.Fields{"server": o.Policy.IsServer(), "bind": o.Policy.Bind, "servers": len(o.Policy.Servers),
+			"dir": o.Policy.Dir}).Info("policy on")
+		if f.admin != nil {
+			f.admin.GetWith("/policy/status", func(ctx context.Context) any { return f.policy.Answer(ctx) })
+			f.admin.Get("/policy/self", func() any { return f.policy.Self() })
+			f.admin.Get("/policy/history", func() any { return f.policy.History() })
+			f.admin.Post("/policy/propose", f.policy.Propose)
+		}
+	}
 	return f, nil
 }
 
@@ -64,6 +80,9 @@
 	if f.peers != nil {
 		running.Go(func() { f.peers.Run(ctx) })
 	}
+	if f.policy != nil {
+		running.Go(func() { f.policy.Run(ctx) })
+	}
 	if f.listens != nil {
 		running.Go(func() {
 			if err := f.admin.Run(ctx, f.listens); err != nil {
--- a/cmd/ottershed/main.go
+++ b/cmd/ottershed/main.go
@@ -56,9 +56,13 @@
 			Flags: []cli.Flag{file, operator}, Action: checkConfig},
 		{Name: "members", Usage: "print whom a running marshal holds for alive, suspect, dead or left, as JSON",
 			Flags: []cli.Flag{at}, Action: members},
+		policyCommand(at, wrong),
 		{Name: "version", Usage: "print the version", Action: printVersion},
 	}
 	for _, c := range commands {
+		if len(c.Commands) > 0 {
+			continue // its own have all this
+		}
 		c.OnUsageError, c.HideHelpCommand = wrong, true
 		c.Before = func(ctx context.Context, cmd *cli.Command) (context.Context, error) {
 			if cmd.Args().Present() {
--- /dev/null
+++ b/cmd/ottershed/policy.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ottershed/internal/admin"
+	"ottershed/internal/policynode"
+	"ottershed/internal/policystore"
+)
+
+// proposeWait is a little more than a marshal takes to give a proposal up.
+const proposeWait = 25 * time.Second
+
+// policyCommand is `ottershed policy` with its own commands.
+func policyCommand(at cli.Flag, wrong cli.OnUsageErrorFunc) *cli.Command {
+	asJSON := &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+	id := &cli.StringFlag{Name: "id", Usage: "the `ID` of an earlier try whose end is not known"}
+	base := &cli.Uint64Flag{Name: "base", Usage: "only if `VERSION` still holds"}
+	commands := []*cli.Command{
+		{Name: "propose", Usage: "have all marshals run the policy of a file, or none", ArgsUsage: "FILE",
+			Flags: []cli.Flag{at, id, base}, Action: proposePolicy},
+		{Name: "check", Usage: "read a policy's file and say what is wrong with it", ArgsUsage: "FILE", Action: checkPolicy},
+		{Name: "status", Usage: "which marshal runs which version", Flags: []cli.Flag{at, asJSON}, Action: policyStatus},
+		{Name: "history", Usage: "the versions so far", Flags: []cli.Flag{at, asJSON}, Action: policyHistory},
+	}
+	for _, c := range commands {
+		files := 0
+		if c.ArgsUsage != "" {
+			files = 1
+		}
+		c.OnUsageError, c.HideHelpCommand = wrong, true
+		c.Before = func(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+			if n := cmd.Args().Len(); n != files {
+				return ctx, fmt.Errorf("%w: policy %s takes %d arguments, got %d; see --help", errUsage, cmd.Name, files, n)
+			}
+			return ctx, nil
+		}
+	}
+	return &cli.Command{Name: "policy", Usage: "what all marshals of a fleet run, everywhere or nowhere", Commands: commands,
+		OnUsageError: wrong, HideHelpCommand: true, Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return fmt.Errorf("%w: no command policy %q; see --help", errUsage, cmd.Args().First())
+			}
+			return cli.ShowSubcommandHelp(cmd)
+		}}
+}
+
+// readPolicy reads and checks the file that is named.
+func readPolicy(cmd *cli.Command) ([]byte, error) {
+	path := cmd.Args().First()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	_, body, err := policystore.Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return body, nil
+}
+
+func checkPolicy(_ context.Context, cmd *cli.Command) error {
+	body, err := readPolicy(cmd)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().Writer, "%s\n", body)
+	return nil
+}
+
+func proposePolicy(ctx context.Context, cmd *cli.Command) error {
+	body, err := readPolicy(cmd)
+	if err != nil {
+		return err
+	}
+	ask := policynode.Ask{Policy: body, ID: cmd.String("id")}
+	if cmd.IsSet("base") {
+		v := policystore.Version(cmd.Uint64("base"))
+		ask.Base = &v
+	}
+	raw, err := json.Marshal(ask)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeWait)
+	defer cancel()
+	answer, err := admin.Ask(ctx, cmd.String("at"), "/policy/propose", raw)
+	if err != nil {
+		return err
+	}
+	var p policynode.Proposed
+	if err := json.Unmarshal(answer, &p); err != nil {
+		return err
+	}
+	again := ""
+	if p.Again {
+		again = ", which it had got before"
+	}
+	fmt.Fprintf(cmd.Root().Writer, "version %d%s (id %s)\n", p.Version, again, p.ID)
+	return nil
+}
+
+func policyStatus(ctx context.Context, cmd *cli.Command) error {
+	raw, err := admin.Ask(ctx, cmd.String("at"), "/policy/status", nil)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		_, err = cmd.Root().Writer.Write(raw)
+		return err
+	}
+	var s policynode.StatusAnswer
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "MARSHAL\tROLE\tVERSION\tSUM\tTRIALS\t")
+	for _, m := range s.Marshals {
+		trials, version := "closed", fmt.Sprint(m.Version)
+		if m.Open {
+			trials = "open"
+		}
+		if m.Missing != "" {
+			m.Role, version, m.Sum, trials = "not reached", "?", "?", "?"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Role, version, m.Sum, trials, m.Failed)
+	}
+	return w.Flush()
+}
+
+func policyHistory(ctx context.Context, cmd *cli.Command) error {
+	raw, err := admin.Ask(ctx, cmd.String("at"), "/policy/history", nil)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		_, err = cmd.Root().Writer.Write(raw)
+		return err
+	}
+	var past []policynode.Past
+	if err := json.Unmarshal(raw, &past); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "VERSION\tAT\tBY\tPOLICY")
+	for _, p := range past {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", p.Version, time.UnixMilli(int64(p.At)).UTC().Format(time.RFC3339), p.By, p.Policy)
+	}
+	return w.Flush()
+}
--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -64,7 +63,9 @@
 	}
 	most := cfg.Limits.Connections()
 	c := clock.New()
-	m := marshal.New(cfg.Settings, cfg.Seed, c, log)
+	fig := newFigures(cfg, log)
+	m := marshal.New(fig.settings(), cfg.Seed, c, log)
+	fig.settle = m.Settle
 	pool := nodes.NewPool(c, cfg.Network, most, log)
 	release := desk.New(cfg.Platform, cfg.Settings.VoteWait, m.Told, log)
 	follower := discovery.New(cfg.Discovery, cfg.Known, cfg.Network, m.List, log)
@@ -81,7 +82,6 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	settled := cfg.Settings // the module's figures as last handed over
 	reload := func(ctx context.Context) {
 		for {
 			select {
@@ -98,18 +98,15 @@
 			if fixed := cfg.Fixed(next); len(fixed) > 0 {
 				log.WithField("keys", strings.Join(fixed, ",")).Warn("configuration: these need a restart")
 			}
-			if cfg.Switchable(next) && !reflect.DeepEqual(settled, next.Settings) {
-				settled = next.Settings // the way back is the same step
-				m.Settle(settled)
-				log.WithFields(logrus.Fields{"marshals": settled.Marshals, "control": settled.Control,
-					"hold_votes": settled.HoldVotes, "back_votes": settled.BackVotes}).Info("settings taken")
+			if cfg.Switchable(next) {
+				fig.reread(next)
 			}
 			follower.Move(ctx, next.Discovery) // it never waits; the desk may while it connects
 			release.Move(ctx, next.Platform)
 			log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform}).Info("configuration taken")
 		}
 	}
-	group, err := newFleet(cfg, c, log)
+	group, err := newFleet(cfg, fig, c, log)
 	if err != nil {
 		return err
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -37,7 +37,12 @@
 
 // Get has a path answered with what show returns, as JSON.
 func (s *Server) Get(path string, show func() any) {
-	s.mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, show()) })
+	s.GetWith(path, func(context.Context) any { return show() })
+}
+
+// GetWith does so where the answer has to be looked for; the context ends with the question.
+func (s *Server) GetWith(path string, show func(context.Context) any) {
+	s.mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) { write(w, http.StatusOK, show(r.Context())) })
 }
 
 // fault is an answer that says what is wrong.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	"ottershed/internal/desk"
 	"ottershed/internal/discovery"
 	"ottershed/internal/marshal"
+	"ottershed/internal/policystore"
 	"ottershed/internal/settings"
 	"ottershed/logic"
 )
@@ -30,10 +31,11 @@
 	Limits    Limits
 	Settings  logic.Settings
 	Network   settings.Network
-	Known     *marshal.List    // the nodes as last held; nil: none
-	News      *logic.StageNews // the newest build; nil: none
-	Warnings  []string         // what is odd but does no harm
-	Operator  *Operator        // the operator's own file; nil: none
+	Figures   map[string]string // all settings by their names, as they came
+	Known     *marshal.List     // the nodes as last held; nil: none
+	News      *logic.StageNews  // the newest build; nil: none
+	Warnings  []string          // what is odd but does no harm
+	Operator  *Operator         // the operator's own file; nil: none
 }
 
 // Limits are what the machine gives.
@@ -136,6 +138,24 @@
 		a.Granularity == b.Granularity && c.Network == next.Network
 }
 
+// Under are the module's settings under a policy of the fleet. An error names the key.
+func (c *Config) Under(p *policystore.Policy) (logic.Settings, error) {
+	set, figures := c.Settings, c.Figures
+	var err error
+	if len(p.Settings) > 0 {
+		if figures, err = settings.Overlay(c.Figures, p.Settings); err != nil {
+			return set, err
+		}
+		if set, err = settings.ForModule(figures); err != nil {
+			return set, err
+		}
+	}
+	if set.Halt = p.Halt; p.TrialShare != nil {
+		set.Withheld = 1 - *p.TrialShare
+	}
+	return set, nil
+}
+
 func readAs(path string, env func(string) string, again bool) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -238,6 +258,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	c.Figures = values
 	if c.Settings, err = settings.ForModule(values); err != nil {
 		return err
 	}
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -51,7 +51,7 @@
 	until           Millis // and by then it has failed
 	relays, nacks   int
 	asked, answered bool
-	check           bool // out of turn
+	again           bool // the second in a row
 }
 
 // relay is a ping that is out for another.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -230,9 +230,9 @@
 
 // paceOf divides what DetectWithin leaves beyond BearPause into sixteen periods. Eight are for the first probe to meet
 // the dead member: each of the others probes all in turn, so that nobody does for j periods has the chance exp(-j).
-// One is for that probe to fail, six for the suspicion beyond the pause, one for word to reach all.
+// Two are for that probe and the next to fail, five for the suspicion beyond the pause, one for word to reach all.
 func paceOf(s *Settings) pace {
 	t := (s.DetectWithin - s.BearPause) / periods
-	return pace{period: t, direct: t / 3, gossip: t / 4, least: s.BearPause + 2*t, most: s.BearPause + 6*t,
+	return pace{period: t, direct: t / 3, gossip: t / 4, least: s.BearPause + t, most: s.BearPause + 5*t,
 		sync: periods * t, forget: 10 * s.DetectWithin}
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -16,13 +16,13 @@
 }
 
 // ping sends a probe. A member that doubts itself waits longer.
-func (d *Detector) ping(m *member, check bool) {
+func (d *Detector) ping(m *member, again bool) {
 	if len(d.probes) >= mostProbes {
 		return
 	}
 	d.seq++
 	f := d.health.factor()
-	d.probes = append(d.probes, &probe{seq: d.seq, target: m.Name, check: check, direct: d.now + d.pace.direct*f,
+	d.probes = append(d.probes, &probe{seq: d.seq, target: m.Name, again: again, direct: d.now + d.pace.direct*f,
 		until: d.now + d.pace.period*f})
 	d.send(m, Packet{Kind: Ping, Seq: d.seq, Target: m.Name})
 }
@@ -40,6 +40,7 @@
 	for _, p := range d.probes {
 		if m := d.table.get(p.target); m != nil && !p.asked && d.now >= p.direct {
 			p.asked = true
+			d.send(m, Packet{Kind: Ping, Seq: p.seq, Target: m.Name}) // the first may be lost
 			for _, other := range d.some(relaysAsked, func(o *member) bool { return o.State == Alive && o.Name != p.target }) {
 				p.relays++
 				d.send(other, Packet{Kind: PingReq, Seq: p.seq, Target: p.target, TargetAt: m.Address})
@@ -54,7 +55,14 @@
 		} else if p.relays == 0 {
 			d.health.worse(1)
 		}
-		if m := d.table.get(p.target); m != nil {
+		m := d.table.get(p.target)
+		switch {
+		case m == nil:
+		case m.State == Alive && !p.again:
+			// Danger: where packets get lost, one probe in some tens fails, and each accusation goes to the whole fleet: a
+			// thousand members at a loss of a fifth would fill the network with denials. So the second failure counts.
+			d.ping(m, true)
+		default:
 			d.accuse(m.Name, m.Incarnation, d.set.Name)
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -14,8 +16,23 @@
 
 // pairs holds the path=value settings of an instance; the first one missing or absurd stays in err.
 type pairs struct {
-	v   map[string]string
-	err error
+	v    map[string]string
+	err  error
+	read map[string]bool // keys that were asked for; nil: not noted
+}
+
+// get is a key's text.
+func (p *pairs) get(key string) (string, bool) {
+	if p.read != nil {
+		p.read[key] = true
+	}
+	s, ok := p.v[key]
+	return s, ok
+}
+
+func (p *pairs) text(key string) string {
+	s, _ := p.get(key)
+	return s
 }
 
 func (p *pairs) fail(key, why string) {
@@ -25,7 +42,7 @@
 }
 
 func (p *pairs) need(key string, low, high float64) float64 {
-	s, ok := p.v[key]
+	s, ok := p.get(key)
 	if !ok {
 		p.fail(key, "missing")
 		return low
@@ -44,7 +61,7 @@
 
 // may reads a number that no rule depends on; absent, it is 0.
 func (p *pairs) may(key string) float64 {
-	if s, ok := p.v[key]; ok {
+	if s, ok := p.get(key); ok {
 		return p.number(key, s, 0, math.MaxFloat64)
 	}
 	return 0
@@ -61,13 +78,13 @@
 
 func (p *pairs) list(key string) []float64 {
 	var out []float64
-	for _, s := range strings.Split(p.v[key], ",") {
+	for _, s := range strings.Split(p.text(key), ",") {
 		out = append(out, p.number(key, s, 0, 1))
 	}
 	return out
 }
 
-func (p *pairs) yes(key string) bool { return p.v[key] == "true" || p.v[key] == "1" }
+func (p *pairs) yes(key string) bool { return p.text(key) == "true" || p.text(key) == "1" }
 
 const most = 1e12
 
@@ -132,13 +149,14 @@
 }
 
 // ForNetwork reads the figures of the sockets; the error names a setting that is missing or absurd.
-func ForNetwork(v map[string]string) (Network, error) {
-	p := &pairs{v: v}
+func ForNetwork(v map[string]string) (Network, error) { return forNetwork(&pairs{v: v}) }
+
+func forNetwork(p *pairs) (Network, error) {
 	n := Network{
 		IdleAfter:      p.need("limits.conn-idle-ms", 1, most),
 		ConnectTimeout: p.need("limits.connect-timeout-ms", 1, most),
 		AnswerSlack:    p.need("rules.answer-slack-ms", 0, most),
-		AskList:        p.v["discovery"] == "ask",
+		AskList:        p.text("discovery") == "ask",
 		AskWithin:      p.may("rules.ask-within-ms"),
 	}
 	for i := 0; i < int(p.need("services.count", 1, 1e4)); i++ {
@@ -148,12 +166,13 @@
 }
 
 // ForModule reads the figures of the decision module; the error names a setting that is missing or absurd.
-func ForModule(v map[string]string) (logic.Settings, error) {
-	p := &pairs{v: v}
+func ForModule(v map[string]string) (logic.Settings, error) { return forModule(&pairs{v: v}) }
+
+func forModule(p *pairs) (logic.Settings, error) {
 	s := logic.Settings{
 		Marshals: int(p.need("n-instances", 1, 1e6)),
-		Zone:     logic.Zone(p.v["zone"]), Granularity: p.may("granularity-ms"),
-		AskList: p.v["discovery"] == "ask", AskWithin: p.may("rules.ask-within-ms"),
+		Zone:     logic.Zone(p.text("zone")), Granularity: p.may("granularity-ms"),
+		AskList: p.text("discovery") == "ask", AskWithin: p.may("rules.ask-within-ms"),
 		CrossPrice: p.may("charges.cross-zone"), ProbePrice: p.may("charges.probe"),
 		MayProbe:    p.yes("limits.probing"),
 		MayCancel:   p.yes("limits.cancel"),
@@ -161,9 +180,9 @@
 		MaxForwards: int(p.need("limits.most-tries", 1, 1e6)),
 		ColdFrom:    p.need("rules.cold-from", 0, 1), WarmAfter: p.need("rules.warm-after-ms", 0, most),
 		OverFactor: p.need("rules.overload-factor", 0, most), OverFor: p.need("rules.overload-for-ms", 0, most),
-		InPlace: p.v["domain.swap"] == "rolling", Caps: p.list("domain.caps"), Stages: p.list("domain.waves"),
-		Free: p.need("domain.uncounted", 0, most), PerGroup: p.v["domain.per"] == "per_lane",
-		Guarded: int(p.need("domain.guarded-stages", 0, 1e6)), KeysStay: p.v["domain.keys-stay"] != "false",
+		InPlace: p.text("domain.swap") == "rolling", Caps: p.list("domain.caps"), Stages: p.list("domain.waves"),
+		Free: p.need("domain.uncounted", 0, most), PerGroup: p.text("domain.per") == "per_lane",
+		Guarded: int(p.need("domain.guarded-stages", 0, 1e6)), KeysStay: p.text("domain.keys-stay") != "false",
 		FlagShare: p.may("domain.reported-share"),
 		VoteLife:  p.may("domain.vote-ttl-ms"), VoteWait: p.may("domain.vote-wait-ms"),
 		OnVotes: int(p.may("domain.on-votes")), BackVotes: int(p.may("domain.votes-to-revert")),
@@ -173,7 +192,7 @@
 	if p.yes("limits.retry-after") {
 		s.MaxComeBack = p.may("limits.max-retry-after-ms")
 	}
-	if p.v["domain.vote-mode"] == "clocked" {
+	if p.text("domain.vote-mode") == "clocked" {
 		s.Control = logic.ByClock
 	}
 	if len(s.Caps) != len(s.Stages) {
@@ -183,15 +202,15 @@
 	scopes := map[string]logic.Scope{"all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeCell}
 	for i := 0; i < int(p.need("services.count", 0, 1e4)); i++ {
 		at := fmt.Sprintf("services.%d.", i)
-		effect, ok := effects[p.v[at+"idempotency"]]
+		effect, ok := effects[p.text(at+"idempotency")]
 		if !ok {
 			p.fail(at+"idempotency", "missing or unknown")
 		}
-		scope, ok := scopes[p.v[at+"group"]]
+		scope, ok := scopes[p.text(at+"group")]
 		if !ok && effect == logic.Tagged {
 			p.fail(at+"group", "missing or unknown")
 		}
-		g := logic.PathGroup{Name: logic.GroupName(p.v[at+"name"]), Target: p.need(at+"aim-ms", 0, most),
+		g := logic.PathGroup{Name: logic.GroupName(p.text(at + "name")), Target: p.need(at+"aim-ms", 0, most),
 			Effect: effect, Scope: scope}
 		if effect == logic.Tagged {
 			g.Remember = p.need(at+"window-ms", 0, most)
@@ -199,7 +218,35 @@
 		s.Groups = append(s.Groups, g)
 	}
 	for i := 0; i < int(p.may("tenants.count")); i++ {
-		s.Tenants = append(s.Tenants, logic.TenantID(p.v[fmt.Sprintf("tenants.%d.name", i)]))
+		s.Tenants = append(s.Tenants, logic.TenantID(p.text(fmt.Sprintf("tenants.%d.name", i))))
 	}
 	return s, p.err
 }
+
+// Overlay puts figures, nested JSON by the same names, over those of a marshal that runs. It takes those alone that the
+// module reads and a running marshal can change; the error names the first that is neither.
+func Overlay(base map[string]string, over []byte) (map[string]string, error) {
+	figures, err := Flatten(over)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	merged := maps.Clone(base)
+	maps.Copy(merged, figures)
+	module, network := &pairs{v: merged, read: map[string]bool{}}, &pairs{v: base, read: map[string]bool{}}
+	if _, err := forModule(module); err != nil {
+		return nil, err
+	}
+	if _, err := forNetwork(network); err != nil {
+		return nil, err
+	}
+	for _, key := range slices.Sorted(maps.Keys(figures)) {
+		switch {
+		case strings.HasPrefix(key, "services.") || strings.HasPrefix(key, "tenants.") || network.read[key] ||
+			key == "granularity-ms" || key == "zone":
+			return nil, fmt.Errorf("settings.%s: can't change while marshals run", key)
+		case !module.read[key]:
+			return nil, fmt.Errorf("settings.%s: not a figure that the marshals read", key)
+		}
+	}
+	return merged, nil
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -82,3 +82,35 @@
 		t.Errorf("%v", v)
 	}
 }
+
+// Only figures that the module reads and a running marshal can change go over those of the configuration.
+func TestOverlay(t *testing.T) {
+	base, err := Flatten([]byte(overlayBase))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for over, want := range map[string]string{
+		`{"domain":{"vote-ttl-ms":4000}}`:     "",
+		`{"rules":{"cold-from":0.5}}`:         "",
+		`{"domain":{"caps":[0.2,1]}}`:         "",
+		`{"domain":{"caps":[0.2]}}`:           "settings.domain.caps: its length",
+		`{"zone":"b"}`:                        "settings.zone: can't change",
+		`{"granularity-ms":1}`:                "settings.granularity-ms: can't change",
+		`{"limits":{"connect-timeout-ms":1}}`: "settings.limits.connect-timeout-ms: can't change",
+		`{"services":[{"aim-ms":1}]}`:         "settings.services.0.aim-ms: can't change",
+		`{"tenants":[{"name":"x"}]}`:          "settings.tenants.0.name: can't change",
+		`{"domain":{"vote-tlt-ms":1}}`:        "settings.domain.vote-tlt-ms: not a figure",
+		`{"rules":{"cold-from":2}}`:           "settings.rules.cold-from: want a number from 0 to 1",
+		`[]`:                                  "settings: want an object",
+	} {
+		merged, err := Overlay(base, []byte(over))
+		if want == "" && (err != nil || len(merged) < len(base)) || want != "" && (err == nil || !strings.HasPrefix(err.Error(), want)) {
+			t.Errorf("%s: want %q, got %v", over, want, err)
+		}
+	}
+}
+
+const overlayBase = `{"n-instances":1,"zone":"z","limits":{"most-tries":5,"conn-idle-ms":30000,"connect-timeout-ms":100},
+"rules":{"cold-from":0.35,"warm-after-ms":4500,"overload-factor":3,"overload-for-ms":1000,"answer-slack-ms":20},
+"domain":{"caps":[0.1,1],"waves":[0.1,1],"uncounted":1,"guarded-stages":0},
+"services":[{"name":"read","aim-ms":100,"give-up-ms":300,"idempotency":"safe"}]}`
--- a/logic/api.go
+++ b/logic/api.go
@@ -86,6 +86,10 @@
 	BackVotes    int    // marshals whose votes send a build back
 	HoldVotes    int    // marshals whose votes stop the clock; 0: not told, as one
 	TallyEvery   Millis // time between the desk's counts; 0: none
+
+	// By the operators' word, beside the deployment's figures:
+	Withheld float64 // share of hits that goes to no build on trial, whatever the cap; 0: none
+	Halt     bool    // no vote that moves a build on; back stays open
 }
 
 // Event is what happened; each concrete type below is one kind.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -334,7 +334,6 @@
 	}
 	switch e.Ending {
 	case Delivered:
-
 		m.typical += freshness * freshness * (e.After - m.typical)
 		m.least = min(m.least, m.typical)
 		m.paceLimit(n, e.After)
@@ -617,10 +616,11 @@
 
 // trial tells whether a build is on trial, its stage and cap; without news of it, those of the first stage.
 func (m *Marshal) trial(b Build) (on bool, stage int, cap float64) {
+	most := 1 - m.set.Withheld // by the operators' word
 	if m.told && b == m.news.Build {
-		return m.news.Phase != Released, m.news.Stage, m.news.Cap
+		return m.news.Phase != Released, m.news.Stage, min(m.news.Cap, most)
 	}
-	return !m.told || b > m.news.Build, 0, m.set.Caps[0]
+	return !m.told || b > m.news.Build, 0, min(m.set.Caps[0], most)
 }
 
 // fill is what a hit adds to the allowance: the lowest cap of any build that is on trial by the list.
@@ -845,9 +845,11 @@
 		return VoteBack, fmt.Sprintf("path group %q clearly slower again, by %.2f at last", back.Name, back.gap)
 	case slow != nil && (trial || m.now-m.stageAt < 3*m.set.WarmAfter):
 		return VoteBack, fmt.Sprintf("all nodes slower than before the trial, by %.2f at last", slow.gap)
+	case trial && m.set.Control == ByClock && m.set.Halt:
+		return VoteHold, "halted by the operators"
 	case trial && m.set.Control == ByClock && hold:
 		return VoteHold, fmt.Sprintf("clearly slower, %d times in a row", m.holdAfter)
-	case !trial || m.set.Control == ByClock || 2*failing >= 1 || reject:
+	case !trial || m.set.Control == ByClock || m.set.Halt || 2*failing >= 1 || reject:
 	case full > 0 && agree, m.vote.Verdict == VoteOn: // only a clearly slower group takes it back
 		return VoteOn, "groups agree"
 	// Danger: cold nodes hide a slow build, so the vote that opens the whole fleet takes outcomes of warm ones.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -383,6 +383,8 @@
 		return like(i)
 	}
 	clock := func(s *Settings) { s.Control = ByClock }
+	halt := func(s *Settings) { s.Halt = true }
+	haltClock := func(s *Settings) { s.Control, s.Halt = ByClock, true }
 	for _, c := range []struct {
 		name     string
 		change   func(*Settings)
@@ -395,6 +397,9 @@
 		{"failing", nil, fails, "3", ""},
 		{"alike under a clock", clock, like, "", "123"},
 		{"slower under a clock", clock, slow, "3", "1"},
+		{"alike, halted", halt, like, "", "123"},
+		{"slower, halted", halt, slow, "3", "1"},
+		{"alike under a clock, halted", haltClock, like, "2", "13"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := judged(t, c.change, c.grn).votes()
@@ -904,6 +909,28 @@
 	}
 }
 
+// What the operators withhold from builds on trial bounds the cap, all of it while a marshal does not know their word.
+func TestWithheld(t *testing.T) {
+	for _, c := range []struct {
+		withheld    float64
+		least, most int
+	}{{0, 80, 101}, {0.8, 30, 41}, {1, 0, 0}} {
+		r := start(t, trial(1, 0.5), func(s *Settings) { s.Withheld = c.withheld })
+		n := 0
+		for range 200 {
+			h, to := r.hit("read", "")
+			if to == "a2" || to == "b2" {
+				n++
+			}
+			r.wait(20)
+			r.end(h, 0, Delivered, 20)
+		}
+		if n < c.least || n > c.most {
+			t.Errorf("withheld %g: %d of 200 hits went to the build on trial", c.withheld, n)
+		}
+	}
+}
+
 // A probe that comes back at once from a node whose cores are busy finds no idle node: its reported use
 // counts as the slowdown of a queue, 1/(1-use).
 func TestLookByUse(t *testing.T) {
