--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -21,7 +21,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	cmd := &cli.Command{Name: "otterlab", Usage: "experiments on fleets of marshals on loopback", HideHelpCommand: true,
-		Commands: []*cli.Command{membersCommand(), policyCommand()}}
+		Commands: []*cli.Command{membersCommand(), policyCommand(), takeoverCommand()}}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "otterlab:", err)
 		os.Exit(1)
@@ -150,6 +150,33 @@
 	return nil
 }
 
+func takeoverCommand() *cli.Command {
+	return &cli.Command{Name: "takeover", Usage: "how soon work goes on elsewhere, and what 100 kills do to hits",
+		Flags: append(shared(), &cli.IntFlag{Name: "marshals", Value: 5},
+			&cli.DurationFlag{Name: "lease", Usage: "of a marshal's work", Value: 5 * time.Second},
+			&cli.IntFlag{Name: "rounds", Usage: "owners killed, one after another", Value: 10},
+			&cli.IntFlag{Name: "kills", Usage: "at random, under load", Value: 100}), Action: takeover}
+}
+
+func takeover(ctx context.Context, cmd *cli.Command) error {
+	set, end, err := fleet(cmd, cmd.Int("marshals"))
+	if err != nil {
+		return err
+	}
+	defer end()
+	set.Lease = cmd.Duration("lease")
+	r, err := lab.MeasureTakeover(ctx, set, cmd.Int("rounds"), cmd.Int("kills"))
+	if err != nil {
+		return err
+	}
+	fmt.Print(lab.TakeoverTable([]*lab.TakeoverResult{r}))
+	if path := cmd.String("chart"); path != "" {
+		return lab.Shares(path, "from an owner's death until another goes on", "milliseconds",
+			[]lab.Line{{Name: fmt.Sprintf("lease %v, detect-within %v", set.Lease, set.DetectWithin), Figures: r.Each}})
+	}
+	return nil
+}
+
 // shared are the flags of all experiments on processes.
 func shared() []cli.Flag {
 	return []cli.Flag{
--- a/cmd/ottershed/takeover_cluster_test.go
+++ b/cmd/ottershed/takeover_cluster_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,27 +26,10 @@
 		BearPause: 500 * time.Millisecond, DetectWithin: 2500 * time.Millisecond})
 	f.Town().SetBuild(f.Town().Nodes()[0], 2)
 	f.Town().Desk().Move(lab.Stage{Image: 2, Progress: "testing", Ceiling: 0.3})
-	await(t, ctx, 20*time.Second, func() error { return held(ctx, f, 0, 5) })
+	await(t, ctx, 20*time.Second, func() error { return f.Held(ctx, 0, 5) })
 	return f, ctx
 }
 
-// held tells whether so many pieces are held, each by one that runs, as a marshal learns it.
-func held(ctx context.Context, f *lab.Fleet, at, want int) error {
-	lines, err := f.Work(ctx, at)
-	if err != nil {
-		return err
-	}
-	for _, l := range lines {
-		if i, err := strconv.Atoi(strings.TrimPrefix(l.Owner, "n")); err != nil || l.Lapsed || !f.Process(i).Running() {
-			return fmt.Errorf("%+v is held by nobody", l)
-		}
-	}
-	if len(lines) != want {
-		return fmt.Errorf("%d pieces, want %d: %+v", len(lines), want, lines)
-	}
-	return nil
-}
-
 // piece is one piece's line.
 func piece(ctx context.Context, f *lab.Fleet, at int, w takeover.Work) (keeper.Line, error) {
 	lines, err := f.Work(ctx, at)
@@ -63,24 +44,14 @@
 	return keeper.Line{}, err
 }
 
-var tokenLine = regexp.MustCompile(`msg="work (claimed|taken)".* token=(\d+) .*work=(\S+)`)
-
-// grants are the leases that marshals say they were granted, by token; one token twice fails the test.
-func grants(t *testing.T, f *lab.Fleet) map[int]string {
+// grants fails the test where a token was granted twice.
+func grants(t *testing.T, f *lab.Fleet) {
 	t.Helper()
-	by := map[int]string{}
-	for i, name := range f.Names() {
-		for line := range strings.Lines(f.Process(i).Output()) {
-			if m := tokenLine.FindStringSubmatch(line); m != nil {
-				token, _ := strconv.Atoi(m[2])
-				if other, twice := by[token]; twice {
-					t.Errorf("token %d was granted to %s and to %s", token, other, name)
-				}
-				by[token] = name + " " + m[3]
-			}
+	for token, times := range f.Grants() {
+		if times > 1 {
+			t.Errorf("token %s was granted %d times", token, times)
 		}
 	}
-	return by
 }
 
 // logged are the lines of all marshals that hold all of some texts.
@@ -128,7 +99,7 @@
 	if err := f.Process(2).Kill(); err != nil {
 		t.Fatal(err)
 	}
-	await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 0, 4) })
+	await(t, ctx, 10*time.Second, func() error { return f.Held(ctx, 0, 4) })
 	lines := logged(f, `msg="work resumed"`, "work=trial/n2")
 	if len(lines) != 1 {
 		t.Fatalf("resumed %d times: %v", len(lines), lines)
@@ -139,7 +110,7 @@
 	if err := f.Process(2).Start(); err != nil {
 		t.Fatal(err)
 	}
-	await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 0, 5) })
+	await(t, ctx, 10*time.Second, func() error { return f.Held(ctx, 0, 5) })
 	if lines := logged(f, `msg="work claimed"`, "work=trial/n2", "marshal=n2", "bytes=0"); len(lines) != 2 {
 		t.Errorf("started again it begins with nothing: %v", lines)
 	}
@@ -260,7 +231,7 @@
 	}
 	racing.Wait()
 	f.Rules.Heal()
-	await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 0, 4) })
+	await(t, ctx, 10*time.Second, func() error { return f.Held(ctx, 0, 4) })
 	if lines := logged(f, `msg="work resumed"`, "work=trial/n4"); len(lines) != 1 || won.Load() > 1 {
 		t.Errorf("%d won, resumed: %v", won.Load(), lines)
 	}
@@ -316,7 +287,7 @@
 		if err := f.Process(0).Start(); err != nil {
 			t.Fatal(err)
 		}
-		await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 1, 5) })
+		await(t, ctx, 10*time.Second, func() error { return f.Held(ctx, 1, 5) })
 		await(t, ctx, 10*time.Second, func() error { // it has its list of nodes again
 			e, err := clients.Hit(ctx, f.Listen(0), "read", fmt.Sprint("back-", time.Now().UnixNano()))
 			if err == nil && e.Status != 200 {
@@ -330,46 +301,18 @@
 	}
 }
 
+var tokenField = regexp.MustCompile(` token=(\d+) `)
+
 // 100 kills at random under load: no trial's work is lost or owned by two, no mutating hit runs twice, and each hit ends.
 func TestWorkHundredKills(t *testing.T) {
 	t.Parallel()
 	f, ctx := workCluster(t, 25)
 	load := lab.NewLoad(f, 6, 25)
 	load.Start(ctx)
-	chance := rand.New(rand.NewPCG(25, 1))
-	back := map[int]time.Time{} // who is down, and until when
-	kills := 0
-	for kills < 100 {
-		time.Sleep(time.Duration(100+chance.IntN(250)) * time.Millisecond)
-		for i, at := range back {
-			if time.Now().After(at) {
-				if err := f.Process(i).Start(); err != nil {
-					t.Fatal(err)
-				}
-				delete(back, i)
-			}
-		}
-		i := chance.IntN(5)
-		if _, down := back[i]; down || len(back) >= 2 {
-			continue // a majority has to be there
-		}
-		if err := f.Process(i).Kill(); err != nil {
-			t.Fatal(err)
-		}
-		kills++
-		down := time.Duration(chance.IntN(400)) * time.Millisecond // it claims its own work again
-		if chance.IntN(4) == 0 {
-			down = 3500 * time.Millisecond // or another takes it over
-		}
-		back[i] = time.Now().Add(down)
-	}
-	for i, at := range back {
-		time.Sleep(time.Until(at))
-		if err := f.Process(i).Start(); err != nil {
-			t.Fatal(err)
-		}
+	if err := f.KillAtRandom(ctx, 25, 100, 2, 3500*time.Millisecond); err != nil {
+		t.Fatal(err)
 	}
-	await(t, ctx, 30*time.Second, func() error { return held(ctx, f, 0, 5) })
+	await(t, ctx, 30*time.Second, func() error { return f.Held(ctx, 0, 5) })
 	r := load.Stop()
 	t.Logf("%+v", r)
 	if r.Lost > 0 || r.Wrong > 0 || len(f.Town().Twice()) > 0 {
@@ -382,12 +325,12 @@
 	votesOnce(t, f)
 	taken := map[string]int{}
 	for _, line := range logged(f, `msg="work taken"`) {
-		if m := tokenLine.FindStringSubmatch(line); m != nil {
-			taken[m[2]]++
+		if m := tokenField.FindStringSubmatch(line); m != nil {
+			taken[m[1]]++
 		}
 	}
 	for _, line := range logged(f, `msg="work resumed"`) {
-		if m := regexp.MustCompile(` token=(\d+) `).FindStringSubmatch(line); m == nil || taken[m[1]] != 1 {
+		if m := tokenField.FindStringSubmatch(line); m == nil || taken[m[1]] != 1 {
 			t.Errorf("resumed without having been taken once: %s", line)
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -909,6 +909,47 @@
 	}
 }
 
+// What a marshal that is gone had seen goes on at another as if seen there, once: the counts that prove a build bad, the
+// groups that prove it slow. One whose own was taken over begins anew.
+func TestAdopted(t *testing.T) {
+	slow := func(i int) (Ending, Millis) { return Delivered, Millis(50 + i*7%13) }
+	fails := func(i int) (Ending, Millis) {
+		if i%3 == 0 {
+			return NodeError, 5
+		}
+		return Delivered, Millis(20 + i*7%13)
+	}
+	for name, grn := range map[string]func(int) (Ending, Millis){"slow": slow, "failing": fails} {
+		dead := judged(t, nil, grn)
+		e, any := dead.m.Evidence()
+		if !any || e.Build != 8 || e.Stage != 1 {
+			t.Fatalf("%s: %+v", name, e)
+		}
+		heir := judged(t, nil, nil)
+		for _, c := range []struct {
+			why    string
+			change func(*Evidence)
+			want   bool
+		}{{"of another build", func(e *Evidence) { e.Build++ }, false}, {"as it was", func(*Evidence) {}, true}} {
+			other := e
+			c.change(&other)
+			heir.do(Adopted{other})
+			heir.wait(heir.m.set.VoteLife)
+			if back := strings.Contains(heir.votes(), "3"); back != c.want {
+				t.Errorf("%s, %s: votes %q", name, c.why, heir.votes())
+			}
+		}
+		dead.do(Disowned{})
+		if e, _ := dead.m.Evidence(); len(e.Counts) > 0 || len(e.Groups[0].Grn) > 0 || dead.m.vote.Verdict != VoteNone {
+			t.Errorf("%s: disowned, it still has %+v", name, e)
+		}
+	}
+	r := start(t, StageNews{Build: 8, Phase: Released, Cap: 1}, nil)
+	if _, any := r.m.Evidence(); any {
+		t.Error("evidence of a build that is released")
+	}
+}
+
 // What the operators withhold from builds on trial bounds the cap, all of it while a marshal does not know their word.
 func TestWithheld(t *testing.T) {
 	for _, c := range []struct {
