An embedded default to start on, and otterlab fleet: a whole fleet on loopback to try things on

Need: the README's first command has to run the service on a fresh machine, and an operator wants to see members, policy and work in a fleet before he has one. serve without a configuration holds the embedded default, with a warning; otterlab fleet runs marshals with all they can share, plays a script of faults and sends hits.

Table output of history is one line a version now.

--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"ottershed/internal/faultnet"
 	"ottershed/internal/lab"
 	"ottershed/internal/membership"
 	"ottershed/internal/membership/sim"
@@ -21,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	cmd := &cli.Command{Name: "otterlab", Usage: "experiments on fleets of marshals on loopback", HideHelpCommand: true,
-		Commands: []*cli.Command{membersCommand(), policyCommand(), takeoverCommand()}}
+		Commands: []*cli.Command{membersCommand(), policyCommand(), takeoverCommand(), fleetCommand()}}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "otterlab:", err)
 		os.Exit(1)
@@ -177,6 +179,61 @@
 	return nil
 }
 
+func fleetCommand() *cli.Command {
+	return &cli.Command{Name: "fleet", Usage: "run a fleet with all that marshals can share, until interrupted or its script ends",
+		Flags: append(shared(), &cli.IntFlag{Name: "marshals", Value: 5},
+			&cli.IntFlag{Name: "servers", Usage: "of the policy's log", Value: 3},
+			&cli.DurationFlag{Name: "lease", Usage: "of a marshal's work", Value: 5 * time.Second},
+			&cli.StringFlag{Name: "script", Usage: "faults to play, a step a line, from `FILE`"},
+			&cli.IntFlag{Name: "clients", Usage: "clients that send hits meanwhile"}), Action: runFleet}
+}
+
+func runFleet(ctx context.Context, cmd *cli.Command) error {
+	var script faultnet.Script
+	if path := cmd.String("script"); path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if script, err = faultnet.ParseScript(string(text)); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	set, end, err := fleet(cmd, cmd.Int("marshals"))
+	if err != nil {
+		return err
+	}
+	defer end()
+	set.Lease, set.Servers = cmd.Duration("lease"), min(cmd.Int("servers"), cmd.Int("marshals"))
+	set.Town.SetBuild(set.Town.Nodes()[0], 2)
+	set.Town.Desk().Move(lab.Stage{Image: 2, Progress: "testing", Ceiling: 0.3})
+	f, err := lab.Started(set)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for i, name := range f.Names() {
+		fmt.Printf("%s  hits %s  admin %s  log %s\n", name, f.Listen(i), f.Admin(i), f.File(i, "log"))
+	}
+	fmt.Printf("build 2 is on trial at one node of three; try: bin/ottershed members --at %s\n", f.Admin(0))
+	load := lab.NewLoad(f, cmd.Int("clients"), cmd.Uint64("seed"))
+	load.Start(ctx)
+	if len(script) > 0 {
+		scene := f.Scene()
+		scene.Did = func(s faultnet.Step) { fmt.Println(s) }
+		err = scene.Play(ctx, script)
+	} else {
+		<-ctx.Done()
+	}
+	if cmd.Int("clients") > 0 {
+		fmt.Printf("hits: %+v\n", load.Stop())
+	}
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // shared are the flags of all experiments on processes.
 func shared() []cli.Flag {
 	return []cli.Flag{
--- a/cmd/ottershed/main.go
+++ b/cmd/ottershed/main.go
@@ -36,8 +36,8 @@
 }
 
 func command() *cli.Command {
-	file := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("LB_CONFIG"),
-		Required: true}
+	file := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`; without it the embedded default holds",
+		Sources: cli.EnvVars("LB_CONFIG")}
 	level := &cli.StringFlag{Name: "log-level", Usage: "`LEVEL` of the lines to write: error, warn, info or debug",
 		Value: "info", Sources: cli.EnvVars("OTTERSHED_LOG_LEVEL"), Validator: func(text string) error {
 			_, err := logrus.ParseLevel(text)
--- a/cmd/ottershed/policy.go
+++ b/cmd/ottershed/policy.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -112,8 +114,9 @@
 	return nil
 }
 
-func policyStatus(ctx context.Context, cmd *cli.Command) error {
-	raw, err := admin.Ask(ctx, cmd.String("at"), "/policy/status", nil)
+// show asks a marshal and prints its answer, as it is with --json, else as a table.
+func show(ctx context.Context, cmd *cli.Command, path string, ask []byte, answer any, table func(w io.Writer)) error {
+	raw, err := admin.Ask(ctx, cmd.String("at"), path, ask)
 	if err != nil {
 		return err
 	}
@@ -121,42 +124,39 @@
 		_, err = cmd.Root().Writer.Write(raw)
 		return err
 	}
-	var s policynode.StatusAnswer
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return err
+	if err := json.Unmarshal(raw, answer); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
 	}
 	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "MARSHAL\tROLE\tVERSION\tSUM\tTRIALS\t")
-	for _, m := range s.Marshals {
-		trials, version := "closed", fmt.Sprint(m.Version)
-		if m.Open {
-			trials = "open"
-		}
-		if m.Missing != "" {
-			m.Role, version, m.Sum, trials = "not reached", "?", "?", "?"
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Role, version, m.Sum, trials, m.Failed)
-	}
+	table(w)
 	return w.Flush()
 }
 
+func policyStatus(ctx context.Context, cmd *cli.Command) error {
+	var s policynode.StatusAnswer
+	return show(ctx, cmd, "/policy/status", nil, &s, func(w io.Writer) {
+		fmt.Fprintln(w, "MARSHAL\tROLE\tVERSION\tSUM\tTRIALS\t")
+		for _, m := range s.Marshals {
+			trials, version := "closed", fmt.Sprint(m.Version)
+			if m.Open {
+				trials = "open"
+			}
+			if m.Missing != "" {
+				m.Role, version, m.Sum, trials = "not reached", "?", "?", "?"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Role, version, m.Sum, trials, m.Failed)
+		}
+	})
+}
+
 func policyHistory(ctx context.Context, cmd *cli.Command) error {
-	raw, err := admin.Ask(ctx, cmd.String("at"), "/policy/history", nil)
-	if err != nil {
-		return err
-	}
-	if cmd.Bool("json") {
-		_, err = cmd.Root().Writer.Write(raw)
-		return err
-	}
 	var past []policynode.Past
-	if err := json.Unmarshal(raw, &past); err != nil {
-		return err
-	}
-	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "VERSION\tAT\tBY\tPOLICY")
-	for _, p := range past {
-		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", p.Version, time.UnixMilli(int64(p.At)).UTC().Format(time.RFC3339), p.By, p.Policy)
-	}
-	return w.Flush()
+	return show(ctx, cmd, "/policy/history", nil, &past, func(w io.Writer) {
+		fmt.Fprintln(w, "VERSION\tAT\tBY\tPOLICY")
+		for _, p := range past {
+			var line bytes.Buffer
+			json.Compact(&line, p.Policy) // it came from JSON
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", p.Version, time.UnixMilli(int64(p.At)).UTC().Format(time.RFC3339), p.By, line.String())
+		}
+	})
 }
--- a/cmd/ottershed/work.go
+++ b/cmd/ottershed/work.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"text/tabwriter"
+	"io"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -33,34 +32,22 @@
 }
 
 func workStatus(ctx context.Context, cmd *cli.Command) error {
-	raw, err := admin.Ask(ctx, cmd.String("at"), "/work", []byte("{}"))
-	if err != nil {
-		return err
-	}
-	if cmd.Bool("json") {
-		_, err = cmd.Root().Writer.Write(raw)
-		return err
-	}
 	var lines []keeper.Line
-	if err := json.Unmarshal(raw, &lines); err != nil {
-		return err
-	}
-	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "WORK\tOWNER\tSTATE\tTOKEN\tLEASE\tCHECKPOINT\tMERGED")
-	now := float64(time.Now().UnixMicro()) / 1000
-	for _, l := range lines {
-		lease, written := "lapsed", "none"
-		if !l.Lapsed {
-			lease = fmt.Sprintf("%.1f s", (l.Until-now)/1000)
-		}
-		if l.Written > 0 {
-			written = fmt.Sprintf("%.1f s ago", (now-l.Written)/1000)
+	return show(ctx, cmd, "/work", []byte("{}"), &lines, func(w io.Writer) {
+		fmt.Fprintln(w, "WORK\tOWNER\tSTATE\tTOKEN\tLEASE\tCHECKPOINT\tMERGED")
+		now := float64(time.Now().UnixMicro()) / 1000
+		for _, l := range lines {
+			lease, written, merged := "lapsed", "none", ""
+			if !l.Lapsed {
+				lease = fmt.Sprintf("%.1f s", (l.Until-now)/1000)
+			}
+			if l.Written > 0 {
+				written = fmt.Sprintf("%.1f s ago", (now-l.Written)/1000)
+			}
+			for _, p := range l.Merged {
+				merged += fmt.Sprintf("%s:%d ", p.Work, p.Token)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%s\t%s\t%s\n", l.Work, l.Owner, l.State, l.Token, lease, written, merged)
 		}
-		merged := ""
-		for _, p := range l.Merged {
-			merged += fmt.Sprintf("%s:%d ", p.Work, p.Token)
-		}
-		fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%s\t%s\t%s\n", l.Work, l.Owner, l.State, l.Token, lease, written, merged)
-	}
-	return w.Flush()
+	})
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	_ "embed"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -105,7 +106,12 @@
 // optional is a part that has a form of its own.
 type optional = json.RawMessage
 
-// Read reads the file at path and the environment. An error names the key at fault.
+// embedded is the configuration of a marshal that is started without one: to look at, on loopback.
+//
+//go:embed default.json
+var embedded []byte
+
+// Read reads the file at path, or the embedded default where there is none, and the environment. An error names the key at fault.
 func Read(path string, env func(string) string) (*Config, error) {
 	return readAs(path, env, false)
 }
@@ -157,7 +163,10 @@
 }
 
 func readAs(path string, env func(string) string, again bool) (*Config, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := embedded, error(nil)
+	if path != "" {
+		raw, err = os.ReadFile(path)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
@@ -179,6 +188,9 @@
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Platform: f.Platform.Address,
 		Limits: f.Limits}
+	if path == "" {
+		c.Warnings = append(c.Warnings, "config: none is given, the embedded default holds")
+	}
 	c.warn("", given, reflect.TypeFor[file]())
 	for key, in := range map[string]reflect.Type{"limits": reflect.TypeFor[Limits](),
 		"platform": reflect.TypeFor[platform]()} {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -217,6 +217,19 @@
 	return nil
 }
 
+// Started makes a fleet and starts its processes.
+func Started(set Settings) (*Fleet, error) {
+	f, err := New(set)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
 // Close kills what still runs and ends the relays.
 func (f *Fleet) Close() {
 	for _, p := range f.process {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -51,14 +51,11 @@
 // loss for a span.
 func MeasureProcesses(ctx context.Context, set Settings, rounds int, loss float64, watch time.Duration) (*MembersResult, error) {
 	began := time.Now()
-	f, err := New(set)
+	f, err := Started(set)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	if err := f.Start(); err != nil {
-		return nil, err
-	}
 	bound := set.DetectWithin
 	agree := func() error {
 		ctx, cancel := context.WithTimeout(ctx, 6*bound)
--- a/internal/lab/measure_policy.go
+++ b/internal/lab/measure_policy.go
@@ -51,14 +51,11 @@
 // marshals, and kills leaders.
 func MeasurePolicy(ctx context.Context, set Settings, versions, rounds int) (*PolicyResult, error) {
 	set.Servers = set.Marshals
-	f, err := New(set)
+	f, err := Started(set)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	if err := f.Start(); err != nil {
-		return nil, err
-	}
 	settled := func(v policystore.Version) error {
 		ctx, cancel := context.WithTimeout(ctx, time.Minute)
 		defer cancel()
--- a/internal/lab/measure_takeover.go
+++ b/internal/lab/measure_takeover.go
@@ -98,16 +98,13 @@
 // MeasureTakeover kills owners of work one after another and watches who goes on, and then kills at random under load.
 func MeasureTakeover(ctx context.Context, set Settings, rounds, kills int) (*TakeoverResult, error) {
 	set.Servers = set.Marshals
-	f, err := New(set)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
 	set.Town.SetBuild(set.Town.Nodes()[0], 2)
 	set.Town.Desk().Move(Stage{Image: 2, Progress: "testing", Ceiling: 0.3})
-	if err := f.Start(); err != nil {
+	f, err := Started(set)
+	if err != nil {
 		return nil, err
 	}
+	defer f.Close()
 	held := func(at, want int) error {
 		ctx, cancel := context.WithTimeout(ctx, time.Minute+4*set.DetectWithin)
 		defer cancel()
--- a/internal/policystore/policy.go
+++ b/internal/policystore/policy.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 )
 
 // Version numbers policies: 1 is the first, 0 none.
@@ -50,6 +51,9 @@
 	case errors.As(err, &syntax):
 		return nil, nil, fmt.Errorf("policy: line %d: %w", 1+bytes.Count(raw[:min(len(raw), int(syntax.Offset))], []byte("\n")), err)
 	case err != nil:
+		if _, field, unknown := strings.Cut(err.Error(), "unknown field "); unknown {
+			return nil, nil, fmt.Errorf("%s: not a key that is known", strings.Trim(field, `"`))
+		}
 		return nil, nil, fmt.Errorf("policy: %w", err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
