Admin answers only what a command of ours may have sent; otterlab prints rows as they come

Cause: a page in a browser on the marshal's machine could have proposed a policy by a form sent to loopback; and a table that is printed at its end is lost with a run that is cut off, as happened at 10,000 members and 20% loss.

--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -36,22 +36,24 @@
 			&cli.IntSliceFlag{Name: "processes", Usage: "fleets of so many real processes", Value: []int{5, 20, 50}},
 			&cli.IntSliceFlag{Name: "simulated", Usage: "fleets of so many detectors in simulated time", Value: []int{1000, 10000}},
 			&cli.IntFlag{Name: "rounds", Usage: "kills in each fleet", Value: 5},
+			&cli.FloatSliceFlag{Name: "simulated-loss", Usage: "the same in simulated time, beside none; deaths are measured under it", Value: []float64{0.05, 0.2}},
 			&cli.FloatFlag{Name: "loss", Usage: "share of packets lost while false deaths are counted", Value: 0.2},
 			&cli.DurationFlag{Name: "watch", Usage: "how long that is", Value: time.Minute}), Action: members}
 }
 
 func members(ctx context.Context, cmd *cli.Command) error {
 	var results []*lab.MembersResult
+	fmt.Print(lab.MembersHead())
 	for _, n := range cmd.IntSlice("processes") {
 		r, err := processes(ctx, cmd, n)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(os.Stderr, "%d processes: %v\n", n, r.Took.Round(time.Second))
+		fmt.Print(r.Row())
 		results = append(results, r)
 	}
 	for _, n := range cmd.IntSlice("simulated") {
-		for _, loss := range []float64{0, cmd.Float("loss")} {
+		for _, loss := range append([]float64{0}, cmd.FloatSlice("simulated-loss")...) {
 			r, err := lab.MeasureSimulated(sim.Settings{Members: n, Seeds: 3, Seed: cmd.Uint64("seed"), Loss: loss, Delay: 2,
 				BearPause: millis(cmd.Duration("bear-pause")), DetectWithin: millis(cmd.Duration("detect-within")),
 				Codec: membership.Codec{Cluster: "lab", Key: []byte("a key of sixteen bytes")}}, cmd.Int("rounds"),
@@ -59,11 +61,10 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(os.Stderr, "%d simulated, loss %g: %v\n", n, loss, r.Took.Round(time.Second))
+			fmt.Print(r.Row()) // as they come: the large ones take long
 			results = append(results, r)
 		}
 	}
-	fmt.Print(lab.MembersTable(results))
 	if path := cmd.String("chart"); path != "" {
 		var lines []lab.Line
 		for _, r := range results {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -31,10 +31,28 @@
 // New makes a server without answers.
 func New() *Server {
 	mux := http.NewServeMux()
-	return &Server{mux: mux, server: &http.Server{Handler: mux, ReadTimeout: inTime, WriteTimeout: 4 * inTime,
+	return &Server{mux: mux, server: &http.Server{Handler: own(mux), ReadTimeout: inTime, WriteTimeout: 4 * inTime,
 		IdleTimeout: inTime, MaxHeaderBytes: longestHead, ErrorLog: log.New(io.Discard, "", 0)}}
 }
 
+// own lets through what a command of ours may have sent. Danger: a page in a browser on this machine can send to loopback,
+// too, by its own name for it or as a form: it would propose policies.
+func own(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if at, err := netip.ParseAddrPort(r.Host); err != nil || !at.Addr().IsLoopback() {
+			write(w, http.StatusMisdirectedRequest, fault{"not asked by an address of loopback"})
+			return
+		}
+		if r.Method == http.MethodPost && r.Header.Get("Content-Type") != jsonType {
+			write(w, http.StatusUnsupportedMediaType, fault{"want " + jsonType})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+const jsonType = "application/json"
+
 // Get has a path answered with what show returns, as JSON.
 func (s *Server) Get(path string, show func() any) {
 	s.GetWith(path, func(context.Context) any { return show() })
@@ -73,7 +91,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", jsonType)
 	w.WriteHeader(status)
 	w.Write(append(raw, '\n'))
 }
@@ -110,6 +128,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
+	req.Header.Set("Content-Type", jsonType)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}}
 	res, err := client.Do(req)
 	if err != nil {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -202,16 +202,18 @@
 	return r, nil
 }
 
-// MembersTable writes results as a table.
-func MembersTable(results []*MembersResult) string {
+// MembersHead begins a table of results, of which each is a Row.
+func MembersHead() string {
 	var b strings.Builder
 	b.WriteString("| members | | loss | deaths | first other, median (most) | all others, median (most) | bound | not declared | " +
 		"false deaths | watched, member hours | bytes/s out | packets/s out |\n")
 	b.WriteString("| ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n")
-	for _, r := range results {
-		fmt.Fprintf(&b, "| %d | %s | %.0f%% | %d | %.1f s (%.1f) | %.1f s (%.1f) | %.0f s | %d | %d | %.1f | %.0f | %.1f |\n",
-			r.Members, r.Kind, 100*r.Loss, r.Deaths, r.First.Median/1000, r.First.Max/1000, r.All.Median/1000, r.All.Max/1000,
-			r.Bound/1000, r.Undeclared, r.FalseDead, r.Watched/3.6e6, r.BytesOut, r.PacketsOut)
-	}
 	return b.String()
 }
+
+// Row is the result's line of the table.
+func (r *MembersResult) Row() string {
+	return fmt.Sprintf("| %d | %s | %.0f%% | %d | %.1f s (%.1f) | %.1f s (%.1f) | %.0f s | %d | %d | %.1f | %.0f | %.1f |\n",
+		r.Members, r.Kind, 100*r.Loss, r.Deaths, r.First.Median/1000, r.First.Max/1000, r.All.Median/1000, r.All.Max/1000,
+		r.Bound/1000, r.Undeclared, r.FalseDead, r.Watched/3.6e6, r.BytesOut, r.PacketsOut)
+}
