A marshal that leaves with nothing to answer ends in good order; work released is taken at once

Cause: on SIGTERM with no open connection http.Server.Close closed the listener a second time before Serve had seen that it was closed, and the marshal ended with exit code 1 (seen in a takeover test: 'leave: close tcp ...: use of closed network connection'; front.Leave). That error is no error now; the test fails without the change.

The log line 'work resumed' named the new owner as the one it was of; left out, the piece's name tells. One that leaves releases its work, tested: its heir has it, and each answered hit counts once.

--- a/cmd/ottershed/takeover_cluster_test.go
+++ b/cmd/ottershed/takeover_cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -117,6 +118,19 @@
 	if lines := logged(f, `msg="work claimed"`, "work=trial/n2", "marshal=n2", "bytes=0"); len(lines) != 2 {
 		t.Errorf("started again it begins with nothing: %v", lines)
 	}
+	// One that is told to leave gives its work free, and another has it before its lease would have lapsed.
+	heir := regexp.MustCompile(`marshal=(n\d)`).FindStringSubmatch(lines[0])
+	if heir == nil {
+		t.Fatal(lines[0])
+	}
+	leaves, _ := strconv.Atoi(heir[1][1:])
+	if err := f.Process(leaves).Leave(ctx); err != nil {
+		t.Error(err)
+	}
+	await(t, ctx, 10*time.Second, func() error { return f.Held(ctx, (leaves+1)%5, 4) })
+	if seen, err := f.Seen(ctx); err != nil || seen != 60 {
+		t.Errorf("after its heir has left, %d hits are in the evidence of all, %v", seen, err)
+	}
 	grants(t, f)
 	votesOnce(t, f)
 }
--- a/internal/faultnet/faultnet_test.go
+++ b/internal/faultnet/faultnet_test.go
@@ -211,3 +211,71 @@
 		t.Error(err)
 	}
 }
+
+// Connections pass a relay; a cut in one direction holds what comes until it is healed and leaves the other as it is; a process
+// that is gone resets its connections.
+func TestStreams(t *testing.T) {
+	rules := NewRules(1)
+	relay := NewStreams(rules)
+	defer relay.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	front, err := relay.Front("a", "b", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := relay.Front("a", "b", "192.0.2.1:1"); err == nil {
+		t.Error("a front for what is not on loopback")
+	}
+	a, err := net.Dial("tcp", front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	passes := func(from, to net.Conn, text string, within time.Duration) bool {
+		from.Write([]byte(text))
+		to.SetReadDeadline(time.Now().Add(within))
+		raw := make([]byte, 100)
+		n, err := to.Read(raw)
+		return err == nil && string(raw[:n]) == text
+	}
+	if !passes(a, b, "there", 5*time.Second) || !passes(b, a, "and back", 5*time.Second) {
+		t.Error("nothing passes")
+	}
+	rules.Cut(Link{"a", "b"}, true)
+	if passes(a, b, "held", 50*time.Millisecond) || !passes(b, a, "the other way", 5*time.Second) {
+		t.Error("a cut is not that of its direction")
+	}
+	rules.Heal()
+	b.SetReadDeadline(time.Now().Add(5 * time.Second))
+	raw := make([]byte, 100)
+	if n, err := b.Read(raw); err != nil || string(raw[:n]) != "held" {
+		t.Errorf("what was held: %q, %v", raw[:n], err)
+	}
+	rules.All(Rule{Drop: 1})
+	began := time.Now()
+	if !passes(a, b, "late", 5*time.Second) || time.Since(began) < sendAgain {
+		t.Errorf("what is lost comes again after %v", time.Since(began))
+	}
+	rules.Heal()
+	b.Close()
+	a.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := a.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+		t.Errorf("the end does not pass: %v", err)
+	}
+	l.Close()
+	if c, err := net.Dial("tcp", front); err == nil {
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+			t.Errorf("nobody listens, and %v", err)
+		}
+		c.Close()
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -297,5 +297,10 @@
 	for f.gate.clear() > 0 && time.Now().Before(last) {
 		time.Sleep(clock.Span(f.network.AnswerSlack) / 4)
 	}
-	return f.server.Close()
+	// Danger: with nothing left to answer, the server may close before it has seen that its listener is closed, closes that
+	// again, and a marshal that left in good order would end as one that failed.
+	if err := f.server.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -394,3 +395,19 @@
 	defer g.mu.Unlock()
 	return len(g.conns)
 }
+
+// A front that owes nothing leaves without an error, however late its server sees that the listener is closed.
+func TestLeaveAtOnce(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // so that the server sees it late
+	for range 20 {
+		f, _, address := start(t, 10)
+		c := dial(t, address)
+		c.send("GET /up", "Connection: close\r\n", "")
+		for c.answer(); f.gate.clear() > 0; {
+			time.Sleep(time.Millisecond)
+		}
+		if err := f.Leave(0); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -330,8 +330,7 @@
 	k.mu.Lock()
 	k.merged = append(k.merged, past)
 	k.mu.Unlock()
-	k.lines.WithFields(logrus.Fields{"work": w, "token": uint64(taken.Lease.Token), "into": own.Work, "hits": hits,
-		"of": taken.Lease.Owner.Name}).Info("work resumed")
+	k.lines.WithFields(logrus.Fields{"work": w, "token": uint64(taken.Lease.Token), "into": own.Work, "hits": hits}).Info("work resumed")
 	return nil
 }
 
--- /dev/null
+++ b/internal/membership/view_test.go
@@ -0,0 +1,36 @@
+package membership
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// A view comes back from JSON as it was: the commands and the lab read it so.
+func TestViewAsJSON(t *testing.T) {
+	d := New(settings("a"))
+	d.Tick(1000)
+	d.Receive(1001, said("b", 5, Update{Name: "c", Address: "127.0.0.3:1", State: Suspect, Incarnation: 7, Run: 1<<64 - 1, By: "b"}))
+	v := d.View()
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back View
+	if err := json.Unmarshal(raw, &back); err != nil {
+		t.Fatal(err)
+	}
+	c, known := back.Get("c")
+	if want, _ := v.Get("c"); !known || c != want || c.State != Suspect || c.By != "b" {
+		t.Errorf("%+v, want %+v", c, want)
+	}
+	if p := back.Present(); len(p) != 3 || p[0] != "a" {
+		t.Errorf("%v", p)
+	}
+	if _, known := back.Get("x"); known {
+		t.Error("one that nobody knows")
+	}
+	var s State
+	if s.UnmarshalText([]byte("well")) == nil {
+		t.Error("a state that is none")
+	}
+}
