--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -33,8 +34,8 @@
 func membersCommand() *cli.Command {
 	return &cli.Command{Name: "members", Usage: "how soon deaths are found, how often falsely, and what that costs",
 		Flags: append(shared(),
-			&cli.IntSliceFlag{Name: "processes", Usage: "fleets of so many real processes", Value: []int{5, 20, 50}},
-			&cli.IntSliceFlag{Name: "simulated", Usage: "fleets of so many detectors in simulated time", Value: []int{1000, 10000}},
+			&cli.IntSliceFlag{Name: "processes", Usage: "fleets of so many real processes; 0: none", Value: []int{5, 20, 50}},
+			&cli.IntSliceFlag{Name: "simulated", Usage: "fleets of so many detectors in simulated time; 0: none", Value: []int{1000, 10000}},
 			&cli.IntFlag{Name: "rounds", Usage: "kills in each fleet", Value: 5},
 			&cli.FloatSliceFlag{Name: "simulated-loss", Usage: "the same in simulated time, beside none; deaths are measured under it", Value: []float64{0.05, 0.2}},
 			&cli.FloatFlag{Name: "loss", Usage: "share of packets lost while false deaths are counted", Value: 0.2},
@@ -44,7 +45,8 @@
 func members(ctx context.Context, cmd *cli.Command) error {
 	var results []*lab.MembersResult
 	fmt.Print(lab.MembersHead())
-	for _, n := range cmd.IntSlice("processes") {
+	none := func(n int) bool { return n <= 0 }
+	for _, n := range slices.DeleteFunc(cmd.IntSlice("processes"), none) {
 		r, err := processes(ctx, cmd, n)
 		if err != nil {
 			return err
@@ -52,7 +54,7 @@
 		fmt.Print(r.Row())
 		results = append(results, r)
 	}
-	for _, n := range cmd.IntSlice("simulated") {
+	for _, n := range slices.DeleteFunc(cmd.IntSlice("simulated"), none) {
 		for _, loss := range append([]float64{0}, cmd.FloatSlice("simulated-loss")...) {
 			r, err := lab.MeasureSimulated(sim.Settings{Members: n, Seeds: 3, Seed: cmd.Uint64("seed"), Loss: loss, Delay: 2,
 				BearPause: millis(cmd.Duration("bear-pause")), DetectWithin: millis(cmd.Duration("detect-within")),
--- a/cmd/ottershed/takeover_cluster_test.go
+++ b/cmd/ottershed/takeover_cluster_test.go
@@ -45,6 +45,25 @@
 	return keeper.Line{}, err
 }
 
+// checkpointed waits until a piece's checkpoint holds all that was seen by now: the second one that is written from now on
+// was begun after the first.
+func checkpointed(t *testing.T, ctx context.Context, f *lab.Fleet, w takeover.Work) {
+	t.Helper()
+	since := float64(time.Now().UnixMicro()) / 1000
+	for range 2 {
+		await(t, ctx, 10*time.Second, func() error {
+			l, err := piece(ctx, f, 0, w)
+			if err == nil && l.Written <= since {
+				err = fmt.Errorf("no checkpoint since: %+v", l)
+			}
+			if err == nil {
+				since = l.Written
+			}
+			return err
+		})
+	}
+}
+
 // grants fails the test where a token was granted twice.
 func grants(t *testing.T, f *lab.Fleet) {
 	t.Helper()
@@ -82,21 +101,7 @@
 			t.Fatal(err)
 		}
 	}
-	saw := time.Now()
-	await(t, ctx, 5*time.Second, func() error {
-		l, err := piece(ctx, f, 0, "trial/n2")
-		if err == nil && l.Written < float64(saw.UnixMilli()) {
-			err = fmt.Errorf("no checkpoint since: %+v", l)
-		}
-		return err
-	})
-	await(t, ctx, 5*time.Second, func() error { // and one more, to be sure that it holds all of them
-		l, err := piece(ctx, f, 0, "trial/n2")
-		if err == nil && l.Written < float64(saw.UnixMilli())+900 {
-			err = fmt.Errorf("no second checkpoint since: %+v", l)
-		}
-		return err
-	})
+	checkpointed(t, ctx, f, "trial/n2")
 	if err := f.Process(2).Kill(); err != nil {
 		t.Fatal(err)
 	}
@@ -160,6 +165,7 @@
 			t.Fatal(err)
 		}
 	}
+	checkpointed(t, ctx, f, "trial/n3")
 	was, err := piece(ctx, f, 0, "trial/n3")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -31,7 +31,10 @@
 func (c call) result(what string) { c.say(`{"jsonrpc":"2.0","id":%d,"result":%s}`, c.ID, what) }
 
 // start runs a desk against a stand-in that does nothing by itself.
-func start(t *testing.T) (d *Desk, calls chan call, told chan logic.Event) {
+func start(t *testing.T) (*Desk, chan call, chan logic.Event) { return startWaiting(t, 100) }
+
+// startWaiting does so with another wait for the answer to a vote, in milliseconds.
+func startWaiting(t *testing.T, wait logic.Millis) (d *Desk, calls chan call, told chan logic.Event) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +59,7 @@
 	}()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d = New(l.Addr().String(), 100, func(e logic.Event) { told <- e }, log)
+	d = New(l.Addr().String(), wait, func(e logic.Event) { told <- e }, log)
 	d.sign = 20 * time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -262,8 +265,7 @@
 // Moved, the desk is followed at the next address before the first one is left; a vote that is still out there keeps
 // its fate, and older news from there is not told any more.
 func TestMove(t *testing.T) {
-	d, calls, told := start(t)
-	d.wait = time.Second
+	d, calls, told := startWaiting(t, 1000)
 	old := followed(t, calls, told)
 	awake(t, old)
 	d.Vote(logic.Vote{Build: 42, Verdict: logic.VoteOn})
