Work is taken over as soon as a death is known, by the events of membership

Cause: the bounded channel of changes had no reader, so it filled and counted what it had to drop as missed; and heirs looked for work only with each command that keeps their own. The keeper reads the changes now and looks at once; nothing is sent before somebody reads.

--- a/cmd/ottershed/fleet.go
+++ b/cmd/ottershed/fleet.go
@@ -81,7 +81,7 @@
 			keeper.NewPart(n)
 		}
 		f.keeper = keeper.New(keeper.Config{Name: cfg.Name, Run: uint64(f.peers.RunID()), Lease: o.Lease}, f.policy, m, release,
-			f.peers.View, c, log)
+			f.peers, c, log)
 		log.WithField("lease", o.Lease.String()).Info("takeover on")
 		if f.admin != nil {
 			f.admin.Post("/work", func(ctx context.Context, _ []byte) (any, error) { return f.keeper.Answer(ctx) })
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -43,6 +43,12 @@
 	VoteUnder(v logic.Vote, fences []desk.Fence)
 }
 
+// Members tells who is there.
+type Members interface {
+	View() *membership.View
+	Changes() <-chan membership.Change
+}
+
 // Config is what the operator's file says, and what the process is.
 type Config struct {
 	Name  string
@@ -62,9 +68,11 @@
 	module Module
 	desk   Desk
 	view   func() *membership.View
-	clock  *clock.Clock
-	lines  logrus.FieldLogger
-	hand   chan manual // takes that an operator asks for
+	// changes are members' states as they change: work is taken over as soon as a death is known.
+	changes <-chan membership.Change
+	clock   *clock.Clock
+	lines   logrus.FieldLogger
+	hand    chan manual // takes that an operator asks for
 
 	mu     sync.Mutex
 	own    takeover.Own
@@ -84,8 +92,8 @@
 }
 
 // New makes a keeper; Run does the rest.
-func New(cfg Config, l Log, m Module, d Desk, view func() *membership.View, c *clock.Clock, lines logrus.FieldLogger) *Keeper {
-	return &Keeper{cfg: cfg, log: l, module: m, desk: d, view: view, clock: c, lines: lines, hand: make(chan manual),
+func New(cfg Config, l Log, m Module, d Desk, members Members, c *clock.Clock, lines logrus.FieldLogger) *Keeper {
+	return &Keeper{cfg: cfg, log: l, module: m, desk: d, view: members.View, changes: members.Changes(), clock: c, lines: lines, hand: make(chan manual),
 		own: takeover.Own{Work: takeover.TrialOf(cfg.Name), By: takeover.Holder{Name: cfg.Name, Run: cfg.Run},
 			Span: float64(cfg.Lease) / float64(time.Millisecond)}}
 }
@@ -118,15 +126,20 @@
 func (k *Keeper) Run(ctx context.Context) {
 	every := time.NewTicker(k.cfg.Lease / ticks)
 	defer every.Stop()
+	k.keep(ctx)
 	for {
-		k.keep(ctx)
-		k.inherit(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-k.hand:
 			m.reply <- k.take(ctx, m.work)
+		case c := <-k.changes:
+			if c.State >= membership.Dead {
+				k.inherit(ctx)
+			}
 		case <-every.C:
+			k.keep(ctx)
+			k.inherit(ctx) // what was lost, or was not due yet as its owner died
 		}
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -56,10 +56,9 @@
 	leave   chan chan struct{}
 	changes chan membership.Change
 	view    atomic.Pointer[membership.View]
+	wanted  atomic.Bool // somebody reads the changes
 	causes  logging.Causes
 	turns   uint64 // of the view
-	health  int
-	refused int
 
 	packetsIn, packetsOut, bytesIn, bytesOut, bad, missed atomic.Uint64
 }
@@ -98,9 +97,12 @@
 // View is the present view. It is never nil and does not change.
 func (p *Peers) View() *membership.View { return p.view.Load() }
 
-// Changes tells of members' states as they change. It holds a bounded number; a reader that falls behind sees in
-// Counters that it missed some, and finds the truth in View.
-func (p *Peers) Changes() <-chan membership.Change { return p.changes }
+// Changes tells of members' states as they change, from the first call on; it has one reader. It holds a bounded number; a
+// reader that falls behind sees in Counters that it missed some, and finds the truth in View.
+func (p *Peers) Changes() <-chan membership.Change {
+	p.wanted.Store(true)
+	return p.changes
+}
 
 // Counters are the sums so far.
 func (p *Peers) Counters() Counters {
@@ -226,6 +228,9 @@
 	default:
 		line.Info("member changed")
 	}
+	if !p.wanted.Load() {
+		return
+	}
 	select {
 	case p.changes <- c:
 	default:
