A policy that could not be run here is tried again when the configuration has changed

Need: a marshal that was down when a policy was proposed, and whose configuration does not go with it, stayed out of trials until the next version, even after its configuration had been mended. SIGHUP tries again.

Tested with processes: it serves, is closed and says which key; mended, it is open at the version.

--- a/cmd/ottershed/fleet.go
+++ b/cmd/ottershed/fleet.go
@@ -133,3 +133,10 @@
 	}
 	return release
 }
+
+// reread follows a configuration that was read again.
+func (f *fleet) reread() {
+	if f.policy != nil {
+		f.policy.Retry()
+	}
+}
--- a/cmd/ottershed/policy_cluster_test.go
+++ b/cmd/ottershed/policy_cluster_test.go
@@ -403,3 +403,49 @@
 	}
 	same(t, ctx, f, 2)
 }
+
+// A policy that does not go with the configuration of a marshal that was down: it serves and takes no part in trials, says
+// why, and runs the policy once its configuration was mended.
+func TestPolicyThatCannotBeRun(t *testing.T) {
+	t.Parallel()
+	f, ctx := policyCluster(t, 3, 3, 17)
+	if err := f.Process(2).Kill(); err != nil {
+		t.Fatal(err)
+	}
+	good, err := os.ReadFile(f.File(2, "json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := strings.Replace(string(good), `"caps":[0.3,1],"waves":[0.3,1]`, `"caps":[0.1,0.3,1],"waves":[0.1,0.3,1]`, 1)
+	if err := os.WriteFile(f.File(2, "json"), []byte(other), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	propose(t, ctx, f, 0, `{"note":"two stages","settings":{"domain":{"caps":[0.2,1]}}}`, "")
+	if err := f.Process(2).Start(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 20*time.Second, func() error {
+		m, err := f.Self(ctx, 2)
+		if err == nil && (m.Open || m.Version != 1 || !strings.Contains(m.Failed, "settings.domain.caps")) {
+			err = fmt.Errorf("%+v", m)
+		}
+		return err
+	})
+	clients := lab.NewClients()
+	defer clients.Close()
+	await(t, ctx, 10*time.Second, func() error {
+		e, err := clients.Hit(ctx, f.Listen(2), "read", fmt.Sprint(time.Now().UnixNano()))
+		if err == nil && e.Status != 200 {
+			err = fmt.Errorf("%+v", e)
+		}
+		return err
+	})
+	if err := os.WriteFile(f.File(2, "json"), good, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Process(2).HangUp(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 10*time.Second, func() error { return f.Runs(ctx, 2, 1) })
+	same(t, ctx, f, 1)
+}
--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -105,6 +105,7 @@
 			}
 			if cfg.Switchable(next) {
 				fig.reread(next)
+				group.reread()
 			}
 			follower.Move(ctx, next.Discovery) // it never waits; the desk may while it connects
 			release.Move(ctx, next.Platform)
--- a/internal/policynode/node.go
+++ b/internal/policynode/node.go
@@ -190,6 +190,24 @@
 	n.changed = make(chan struct{})
 }
 
+// Retry runs the version that could not be run here, for the marshal's configuration has changed.
+func (n *Node) Retry() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	why := n.gate.Failed()
+	if why == "" {
+		return
+	}
+	n.gate.Mended()
+	run := n.gate.Run()
+	if err := n.hooks.Run(run); err != nil {
+		n.gate.Fails(err)
+		n.log.WithError(err).Error("policy still can't be run here")
+		return
+	}
+	n.log.WithFields(logrus.Fields{"version": uint64(run.Record.Version), "open": run.Open}).Info("policy can be run here again")
+}
+
 func sum(s uint64) string { return strconv.FormatUint(s, 16) }
 
 // part is the policy's part of the log.
--- a/internal/policystore/gate.go
+++ b/internal/policystore/gate.go
@@ -53,6 +53,9 @@
 // have left. It serves on, but takes part in no trial until a later version runs.
 func (g *Gate) Fails(err error) { g.failed = err.Error() }
 
+// Mended says that what could not be run here can be, by now.
+func (g *Gate) Mended() { g.failed = "" }
+
 // CaughtUp says that this marshal holds all that the fleet had committed at a moment after its start; now says it for the
 // first time. Danger: a marshal that was down while policy changed would judge and vote by what does not hold any more; so
 // the gate to trials opens only with the newest version, in one step.
