A proposal's wait counts from when it is made: what a cut held up is not committed later

History showed the minority's own proposal, by n0, stamped 2 s after it was made: the checks at servers that can't be reached took that long, and the time by which a leader has to have it counted from behind them, so a call held up by the cut was still good when the cut was healed (policynode.Propose).

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -295,7 +295,11 @@
 
 // Propose proposes a policy at a marshal; id may be empty.
 func (f *Fleet) Propose(ctx context.Context, i int, policy, id string) (*policynode.Proposed, error) {
-	body, err := json.Marshal(policynode.Ask{Policy: json.RawMessage(policy), ID: id})
+	ask := policynode.Ask{Policy: json.RawMessage(policy), ID: id}
+	if end, ok := ctx.Deadline(); ok {
+		ask.WaitMS = max(1, time.Until(end).Milliseconds())
+	}
+	body, err := json.Marshal(ask)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/policynode/node.go
+++ b/internal/policynode/node.go
@@ -443,8 +443,9 @@
 // Ask is what an operator proposes.
 type Ask struct {
 	Policy json.RawMessage      `json:"policy"`
-	ID     string               `json:"id,omitempty"`   // of an earlier try whose end is not known
-	Base   *policystore.Version `json:"base,omitempty"` // only if this version holds
+	ID     string               `json:"id,omitempty"`      // of an earlier try whose end is not known
+	Base   *policystore.Version `json:"base,omitempty"`    // only if this version holds
+	WaitMS int64                `json:"wait_ms,omitempty"` // for the answer; nothing comes of it afterwards. 0: 15 s
 }
 
 // Proposed is what became of it.
@@ -461,6 +462,14 @@
 	if err := json.Unmarshal(body, &ask); err != nil {
 		return nil, fmt.Errorf("proposal: %w", err)
 	}
+	// Danger: what a cut holds up comes when it is healed; by then its proposer must still be waiting. So the
+	// wait counts from here, the time for the checks included.
+	wait := proposeIn
+	if ms := time.Duration(ask.WaitMS) * time.Millisecond; ms > 0 {
+		wait = min(wait, ms)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	_, policy, err := policystore.Parse(ask.Policy)
 	if err != nil {
 		return nil, err
@@ -482,8 +491,6 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposeIn)
-	defer cancel()
 	answer, err := n.Command(ctx, Kind, raw)
 	var out policystore.Outcome
 	if err == nil {
