--- a/cmd/ottershed/fleet.go
+++ b/cmd/ottershed/fleet.go
@@ -11,9 +11,13 @@
 	"ottershed/internal/admin"
 	"ottershed/internal/clock"
 	"ottershed/internal/config"
+	"ottershed/internal/desk"
+	"ottershed/internal/keeper"
+	"ottershed/internal/marshal"
 	"ottershed/internal/membership"
 	"ottershed/internal/peers"
 	"ottershed/internal/policynode"
+	"ottershed/internal/takeover"
 )
 
 // fleet is what a marshal shares with others of its fleet, and shows its operator. Without an operator's file it is
@@ -22,6 +26,7 @@
 	log     logrus.FieldLogger
 	peers   *peers.Peers     // nil: off
 	policy  *policynode.Node // nil: off
+	keeper  *keeper.Keeper   // nil: off
 	admin   *admin.Server
 	listens net.Listener // of admin; nil: none
 }
@@ -33,7 +38,8 @@
 }
 
 // newFleet opens what the operator's file switches on.
-func newFleet(cfg *config.Config, fig *figures, c *clock.Clock, log logrus.FieldLogger) (*fleet, error) {
+func newFleet(cfg *config.Config, fig *figures, m *marshal.Marshal, release *desk.Desk, c *clock.Clock,
+	log logrus.FieldLogger) (*fleet, error) {
 	f := &fleet{log: log}
 	o := cfg.Operator
 	if o == nil {
@@ -70,6 +76,20 @@
 			f.admin.Post("/policy/propose", f.policy.Propose)
 		}
 	}
+	if o.Lease > 0 {
+		if n := f.policy.Log(); n != nil {
+			keeper.NewPart(n)
+		}
+		f.keeper = keeper.New(keeper.Config{Name: cfg.Name, Run: uint64(f.peers.RunID()), Lease: o.Lease}, f.policy, m, release,
+			f.peers.View, c, log)
+		log.WithField("lease", o.Lease.String()).Info("takeover on")
+		if f.admin != nil {
+			f.admin.Post("/work", func(ctx context.Context, _ []byte) (any, error) { return f.keeper.Answer(ctx) })
+			f.admin.Post("/work/take", func(ctx context.Context, body []byte) (any, error) {
+				return struct{}{}, f.keeper.Take(ctx, takeover.Work(body))
+			})
+		}
+	}
 	return f, nil
 }
 
@@ -83,6 +103,9 @@
 	if f.policy != nil {
 		running.Go(func() { f.policy.Run(ctx) })
 	}
+	if f.keeper != nil {
+		running.Go(func() { f.keeper.Run(ctx) })
+	}
 	if f.listens != nil {
 		running.Go(func() {
 			if err := f.admin.Run(ctx, f.listens); err != nil {
@@ -94,7 +117,18 @@
 
 // leave tells the others that this marshal goes; it is called once.
 func (f *fleet) leave(ctx context.Context) {
+	if f.keeper != nil {
+		f.keeper.Leave(ctx)
+	}
 	if f.peers != nil {
 		f.peers.Leave(ctx)
 	}
 }
+
+// votes is who takes the module's votes: the desk, or the keeper in front of it.
+func (f *fleet) votes(release *desk.Desk) marshal.Desk {
+	if f.keeper != nil {
+		return f.keeper
+	}
+	return release
+}
--- a/cmd/ottershed/main.go
+++ b/cmd/ottershed/main.go
@@ -57,6 +57,7 @@
 		{Name: "members", Usage: "print whom a running marshal holds for alive, suspect, dead or left, as JSON",
 			Flags: []cli.Flag{at}, Action: members},
 		policyCommand(at, wrong),
+		workCommand(at, wrong),
 		{Name: "version", Usage: "print the version", Action: printVersion},
 	}
 	for _, c := range commands {
--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -25,6 +25,7 @@
 	"ottershed/internal/logging"
 	"ottershed/internal/marshal"
 	"ottershed/internal/nodes"
+	"ottershed/internal/takeover"
 )
 
 // grace is how long a marshal that leaves still accepts: the front layer goes on for a while.
@@ -69,7 +70,11 @@
 	pool := nodes.NewPool(c, cfg.Network, most, log)
 	release := desk.New(cfg.Platform, cfg.Settings.VoteWait, m.Told, log)
 	follower := discovery.New(cfg.Discovery, cfg.Known, cfg.Network, m.List, log)
-	m.Connect(pool, release, follower)
+	group, err := newFleet(cfg, fig, m, release, c, log)
+	if err != nil {
+		return err
+	}
+	m.Connect(pool, group.votes(release), follower)
 	known := 0
 	if cfg.Known != nil {
 		known = len(cfg.Known.Entries)
@@ -106,15 +111,14 @@
 			log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform}).Info("configuration taken")
 		}
 	}
-	group, err := newFleet(cfg, fig, c, log)
-	if err != nil {
-		return err
-	}
 	for _, part := range []func(context.Context){group.run, m.Run, pool.Run, release.Run, follower.Run, reload} {
 		running.Go(func() { part(ctx) })
 	}
 
 	f := front.New(m, c, cfg.Settings, cfg.Network, most, log)
+	if group.keeper != nil {
+		f.Resume(takeover.Resumed)
+	}
 	served := make(chan error, 1)
 	go func() { served <- f.Serve(listener) }()
 	log.WithFields(logrus.Fields{"listen": cfg.Listen, "nodes": known, "connections": most}).Info("serving")
@@ -124,10 +128,17 @@
 	case sig := <-stop:
 		log.WithField("signal", sig.String()).Info("leaving")
 	}
-	group.leave(ctx)
+	left := make(chan struct{})
+	go func() { // Danger: what a marshal owes the others must not hold up what it owes its clients
+		defer close(left)
+		ctx, cancel := context.WithTimeout(ctx, 2*grace)
+		defer cancel()
+		group.leave(ctx)
+	}()
 	if err := f.Leave(grace); err != nil {
 		return fmt.Errorf("leave: %w", err)
 	}
+	<-left
 	log.Info("left")
 	return nil
 }
--- /dev/null
+++ b/cmd/ottershed/takeover_cluster_test.go
@@ -0,0 +1,397 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ottershed/internal/faultnet"
+	"ottershed/internal/keeper"
+	"ottershed/internal/lab"
+	"ottershed/internal/takeover"
+)
+
+// workCluster starts marshals that hold their work under leases, with a build on trial at one of three nodes, and waits
+// until each holds its own.
+func workCluster(t *testing.T, seed uint64) (*lab.Fleet, context.Context) {
+	t.Helper()
+	f, ctx := cluster(t, lab.Settings{Marshals: 5, Servers: 5, Elect: 250 * time.Millisecond, Lease: 1200 * time.Millisecond, Seed: seed,
+		BearPause: 500 * time.Millisecond, DetectWithin: 2500 * time.Millisecond})
+	f.Town().SetBuild(f.Town().Nodes()[0], 2)
+	f.Town().Desk().Move(lab.Stage{Image: 2, Progress: "testing", Ceiling: 0.3})
+	await(t, ctx, 20*time.Second, func() error { return held(ctx, f, 0, 5) })
+	return f, ctx
+}
+
+// held tells whether so many pieces are held, each by one that runs, as a marshal learns it.
+func held(ctx context.Context, f *lab.Fleet, at, want int) error {
+	lines, err := f.Work(ctx, at)
+	if err != nil {
+		return err
+	}
+	for _, l := range lines {
+		if i, err := strconv.Atoi(strings.TrimPrefix(l.Owner, "n")); err != nil || l.Lapsed || !f.Process(i).Running() {
+			return fmt.Errorf("%+v is held by nobody", l)
+		}
+	}
+	if len(lines) != want {
+		return fmt.Errorf("%d pieces, want %d: %+v", len(lines), want, lines)
+	}
+	return nil
+}
+
+// piece is one piece's line.
+func piece(ctx context.Context, f *lab.Fleet, at int, w takeover.Work) (keeper.Line, error) {
+	lines, err := f.Work(ctx, at)
+	for _, l := range lines {
+		if l.Work == w {
+			return l, err
+		}
+	}
+	if err == nil {
+		err = fmt.Errorf("no piece %s", w)
+	}
+	return keeper.Line{}, err
+}
+
+var tokenLine = regexp.MustCompile(`msg="work (claimed|taken)".* token=(\d+) .*work=(\S+)`)
+
+// grants are the leases that marshals say they were granted, by token; one token twice fails the test.
+func grants(t *testing.T, f *lab.Fleet) map[int]string {
+	t.Helper()
+	by := map[int]string{}
+	for i, name := range f.Names() {
+		for line := range strings.Lines(f.Process(i).Output()) {
+			if m := tokenLine.FindStringSubmatch(line); m != nil {
+				token, _ := strconv.Atoi(m[2])
+				if other, twice := by[token]; twice {
+					t.Errorf("token %d was granted to %s and to %s", token, other, name)
+				}
+				by[token] = name + " " + m[3]
+			}
+		}
+	}
+	return by
+}
+
+// logged are the lines of all marshals that hold all of some texts.
+func logged(f *lab.Fleet, texts ...string) (lines []string) {
+	for i := range f.Names() {
+		for line := range strings.Lines(f.Process(i).Output()) {
+			all := true
+			for _, text := range texts {
+				all = all && strings.Contains(line, text)
+			}
+			if all {
+				lines = append(lines, line)
+			}
+		}
+	}
+	return lines
+}
+
+// The owner of a trial's work is killed: one other goes on from its last checkpoint, and no vote counts twice.
+func TestWorkOwnerKilled(t *testing.T) {
+	t.Parallel()
+	f, ctx := workCluster(t, 21)
+	clients := lab.NewClients()
+	defer clients.Close()
+	for i := range 60 { // evidence at one marshal
+		if _, err := clients.Hit(ctx, f.Listen(2), "read", fmt.Sprint("e", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	saw := time.Now()
+	await(t, ctx, 5*time.Second, func() error {
+		l, err := piece(ctx, f, 0, "trial/n2")
+		if err == nil && l.Written < float64(saw.UnixMilli()) {
+			err = fmt.Errorf("no checkpoint since: %+v", l)
+		}
+		return err
+	})
+	await(t, ctx, 5*time.Second, func() error { // and one more, to be sure that it holds all of them
+		l, err := piece(ctx, f, 0, "trial/n2")
+		if err == nil && l.Written < float64(saw.UnixMilli())+900 {
+			err = fmt.Errorf("no second checkpoint since: %+v", l)
+		}
+		return err
+	})
+	if err := f.Process(2).Kill(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 0, 4) })
+	lines := logged(f, `msg="work resumed"`, "work=trial/n2")
+	if len(lines) != 1 {
+		t.Fatalf("resumed %d times: %v", len(lines), lines)
+	}
+	if m := regexp.MustCompile(`hits=(\d+)`).FindStringSubmatch(lines[0]); m == nil || m[1] != "60" {
+		t.Errorf("it had answered 60 hits: %s", lines[0])
+	}
+	if err := f.Process(2).Start(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 0, 5) })
+	if lines := logged(f, `msg="work claimed"`, "work=trial/n2", "marshal=n2", "bytes=0"); len(lines) != 2 {
+		t.Errorf("started again it begins with nothing: %v", lines)
+	}
+	grants(t, f)
+	votesOnce(t, f)
+}
+
+// votesOnce checks the desk's ballots: once a piece was voted by under a token, no ballot under an earlier one counted.
+func votesOnce(t *testing.T, f *lab.Fleet) {
+	t.Helper()
+	newest := map[string]uint64{}
+	for _, b := range f.Town().Desk().Ballots() {
+		for _, fence := range b.Fences {
+			if b.Counted && fence.Token < newest[fence.Work] {
+				t.Errorf("%+v counted, after token %d", b, newest[fence.Work])
+			}
+			newest[fence.Work] = max(newest[fence.Work], fence.Token)
+		}
+	}
+}
+
+// An owner that stands still past its lease and goes on: what it writes is refused, and so are votes under its token.
+func TestWorkZombie(t *testing.T) {
+	t.Parallel()
+	f, ctx := workCluster(t, 22)
+	clients := lab.NewClients()
+	defer clients.Close()
+	for i := range 40 {
+		if _, err := clients.Hit(ctx, f.Listen(3), "read", fmt.Sprint("e", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	was, err := piece(ctx, f, 0, "trial/n3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Process(3).Stall(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 10*time.Second, func() error {
+		if len(logged(f, `msg="work resumed"`, "work=trial/n3")) != 1 {
+			return fmt.Errorf("not taken over")
+		}
+		return nil
+	})
+	if err := f.Process(3).Resume(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, ctx, 10*time.Second, func() error { // its next write is refused, and it begins anew under a higher token
+		if len(logged(f, `msg="work lost"`, "marshal=n3", fmt.Sprintf("token=%d", was.Token))) != 1 {
+			return fmt.Errorf("its late write was not refused")
+		}
+		l, err := piece(ctx, f, 0, "trial/n3")
+		if err == nil && (l.Token <= was.Token || l.Owner != "n3") {
+			err = fmt.Errorf("%+v, and before %+v", l, was)
+		}
+		return err
+	})
+	grants(t, f)
+	// A vote that it had sent before, and that comes only now, does not count, once the new owner has voted.
+	desk := f.Town().Desk()
+	for _, c := range []struct {
+		token takeover.Token
+		want  string
+	}{{was.Token + 1000, `"result"`}, {was.Token, "ConditionFailed"}, {was.Token + 1000, `"result"`}} {
+		if answer := castBallot(t, desk.Address(), fmt.Sprintf(`{"image":2,"ring":0,"opinion":"on","fences":[{"work":"trial/n3","token":%d}]}`,
+			c.token)); !strings.Contains(answer, c.want) {
+			t.Errorf("under token %d: %s, want %s", c.token, answer, c.want)
+		}
+	}
+}
+
+func castBallot(t *testing.T, address, params string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, `{"jsonrpc":"2.0","id":1,"method":"castBallot","params":%s}`+"\n", params)
+	var answer json.RawMessage
+	if err := json.NewDecoder(c).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return string(answer)
+}
+
+// Survivors race for a piece under loss: one has it, the others are refused and hear so.
+func TestWorkRace(t *testing.T) {
+	t.Parallel()
+	f, ctx := workCluster(t, 23)
+	f.Rules.All(faultnet.Rule{Drop: 0.2})
+	if err := f.Process(4).Kill(); err != nil {
+		t.Fatal(err)
+	}
+	var racing sync.WaitGroup
+	var won atomic.Int32
+	refused := make([]string, 4)
+	for i := range 4 {
+		racing.Go(func() {
+			err := lab.Until(ctx, func() error { // until the lease has lapsed and somebody has it
+				err := f.Take(ctx, i, "trial/n4")
+				if err != nil && (!strings.Contains(err.Error(), "trial/n4") || strings.Contains(err.Error(), "held by n4")) {
+					return err // no leader yet, or its lease still stands
+				}
+				if err != nil {
+					refused[i] = err.Error()
+					return nil
+				}
+				won.Add(1)
+				return nil
+			})
+			if err != nil {
+				t.Errorf("n%d: %v", i, err)
+			}
+		})
+	}
+	racing.Wait()
+	f.Rules.Heal()
+	await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 0, 4) })
+	if lines := logged(f, `msg="work resumed"`, "work=trial/n4"); len(lines) != 1 || won.Load() > 1 {
+		t.Errorf("%d won, resumed: %v", won.Load(), lines)
+	}
+	for i, text := range refused {
+		if text != "" && !strings.Contains(text, "no piece any more") && !strings.Contains(text, "is held by") {
+			t.Errorf("n%d was refused by %q", i, text)
+		}
+	}
+	if n := strings.Count(strings.Join(refused, "\n"), "trial/n4"); n < 3-int(1-won.Load()) {
+		t.Errorf("%d of the others were refused: %q", n, refused)
+	}
+	grants(t, f)
+}
+
+// A mutating hit that is at a node when its marshal dies is never forwarded again: its client, which brings it to another
+// marshal, hears so at once, with when to come back. A repeatable one is delivered there.
+func TestWorkHitInFlight(t *testing.T) {
+	t.Parallel()
+	f, ctx := workCluster(t, 24)
+	clients := lab.NewClients()
+	defer clients.Close()
+	for _, n := range f.Town().Nodes() {
+		n.Behave(400*time.Millisecond, false)
+	}
+	for _, group := range []string{"send-text", "read"} {
+		id, before := "flight-"+group, f.Town().Begun()
+		broken := make(chan error, 1)
+		go func() {
+			_, err := clients.Hit(ctx, f.Listen(0), group, id)
+			broken <- err
+		}()
+		await(t, ctx, 5*time.Second, func() error {
+			if f.Town().Begun() == before {
+				return fmt.Errorf("not at a node yet")
+			}
+			return nil
+		})
+		if err := f.Process(0).Kill(); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-broken; err == nil {
+			t.Error("it was answered")
+		}
+		e, err := clients.Resume(ctx, f.Listen(1), group, id)
+		switch {
+		case err != nil:
+			t.Error(err)
+		case group == "read" && e.Status != 200:
+			t.Errorf("a repeatable hit ended as %+v", e)
+		case group == "send-text" && (e.Status != 500 || e.ComeBack == "" || e.Took > 200*time.Millisecond):
+			t.Errorf("a mutating hit ended as %+v", e)
+		}
+		if err := f.Process(0).Start(); err != nil {
+			t.Fatal(err)
+		}
+		await(t, ctx, 10*time.Second, func() error { return held(ctx, f, 1, 5) })
+		await(t, ctx, 10*time.Second, func() error { // it has its list of nodes again
+			e, err := clients.Hit(ctx, f.Listen(0), "read", fmt.Sprint("back-", time.Now().UnixNano()))
+			if err == nil && e.Status != 200 {
+				err = fmt.Errorf("%+v", e)
+			}
+			return err
+		})
+	}
+	if twice := f.Town().Twice(); len(twice) > 0 {
+		t.Errorf("ran twice: %v", twice)
+	}
+}
+
+// 100 kills at random under load: no trial's work is lost or owned by two, no mutating hit runs twice, and each hit ends.
+func TestWorkHundredKills(t *testing.T) {
+	t.Parallel()
+	f, ctx := workCluster(t, 25)
+	load := lab.NewLoad(f, 6, 25)
+	load.Start(ctx)
+	chance := rand.New(rand.NewPCG(25, 1))
+	back := map[int]time.Time{} // who is down, and until when
+	kills := 0
+	for kills < 100 {
+		time.Sleep(time.Duration(100+chance.IntN(250)) * time.Millisecond)
+		for i, at := range back {
+			if time.Now().After(at) {
+				if err := f.Process(i).Start(); err != nil {
+					t.Fatal(err)
+				}
+				delete(back, i)
+			}
+		}
+		i := chance.IntN(5)
+		if _, down := back[i]; down || len(back) >= 2 {
+			continue // a majority has to be there
+		}
+		if err := f.Process(i).Kill(); err != nil {
+			t.Fatal(err)
+		}
+		kills++
+		down := time.Duration(chance.IntN(400)) * time.Millisecond // it claims its own work again
+		if chance.IntN(4) == 0 {
+			down = 3500 * time.Millisecond // or another takes it over
+		}
+		back[i] = time.Now().Add(down)
+	}
+	for i, at := range back {
+		time.Sleep(time.Until(at))
+		if err := f.Process(i).Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	await(t, ctx, 30*time.Second, func() error { return held(ctx, f, 0, 5) })
+	r := load.Stop()
+	t.Logf("%+v", r)
+	if r.Lost > 0 || r.Wrong > 0 || len(f.Town().Twice()) > 0 {
+		t.Errorf("%+v; ran twice: %v", r, f.Town().Twice())
+	}
+	if r.Delivered < 500 || r.Resumed == 0 {
+		t.Errorf("too little load: %+v", r)
+	}
+	grants(t, f)
+	votesOnce(t, f)
+	taken := map[string]int{}
+	for _, line := range logged(f, `msg="work taken"`) {
+		if m := tokenLine.FindStringSubmatch(line); m != nil {
+			taken[m[2]]++
+		}
+	}
+	for _, line := range logged(f, `msg="work resumed"`) {
+		if m := regexp.MustCompile(` token=(\d+) `).FindStringSubmatch(line); m == nil || taken[m[1]] != 1 {
+			t.Errorf("resumed without having been taken once: %s", line)
+		}
+	}
+	if len(taken) == 0 {
+		t.Error("nothing was ever taken over")
+	}
+}
--- /dev/null
+++ b/cmd/ottershed/work.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ottershed/internal/admin"
+	"ottershed/internal/keeper"
+)
+
+// workCommand is `ottershed work` with its own commands.
+func workCommand(at cli.Flag, wrong cli.OnUsageErrorFunc) *cli.Command {
+	asJSON := &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+	commands := []*cli.Command{
+		{Name: "status", Usage: "who owns which piece of work, under which token", Flags: []cli.Flag{at, asJSON}, Action: workStatus},
+		{Name: "take", Usage: "have the marshal take a piece over whose lease has lapsed", ArgsUsage: "WORK", Flags: []cli.Flag{at},
+			Action: takeWork},
+	}
+	return withCommands("work", "the work that marshals have in hand, and who has taken it over", commands, wrong)
+}
+
+func takeWork(ctx context.Context, cmd *cli.Command) error {
+	if _, err := admin.Ask(ctx, cmd.String("at"), "/work/take", []byte(cmd.Args().First())); err != nil {
+		return err
+	}
+	fmt.Fprintln(cmd.Root().Writer, "taken")
+	return nil
+}
+
+func workStatus(ctx context.Context, cmd *cli.Command) error {
+	raw, err := admin.Ask(ctx, cmd.String("at"), "/work", []byte("{}"))
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		_, err = cmd.Root().Writer.Write(raw)
+		return err
+	}
+	var lines []keeper.Line
+	if err := json.Unmarshal(raw, &lines); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "WORK\tOWNER\tSTATE\tTOKEN\tLEASE\tCHECKPOINT\tMERGED")
+	now := float64(time.Now().UnixMicro()) / 1000
+	for _, l := range lines {
+		lease, written := "lapsed", "none"
+		if !l.Lapsed {
+			lease = fmt.Sprintf("%.1f s", (l.Until-now)/1000)
+		}
+		if l.Written > 0 {
+			written = fmt.Sprintf("%.1f s ago", (now-l.Written)/1000)
+		}
+		merged := ""
+		for _, p := range l.Merged {
+			merged += fmt.Sprintf("%s:%d ", p.Work, p.Token)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%s\t%s\t%s\n", l.Work, l.Owner, l.State, l.Token, lease, written, merged)
+	}
+	return w.Flush()
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -24,6 +24,7 @@
 	Admin      string            // ip:port of loopback; empty: none
 	Membership *peers.Config     // nil: off
 	Policy     *consensus.Config // nil: off
+	Lease      time.Duration     // of work in hand; 0: takeover is off
 }
 
 // spanOf reads a length of time, "4s" or "250ms", in milliseconds. Danger: a plain number could be taken for any unit.
@@ -64,6 +65,10 @@
 			Address string `toml:"address"`
 		} `toml:"servers"`
 	} `toml:"policy"`
+	Takeover struct {
+		Enabled bool   `toml:"enabled"`
+		Lease   string `toml:"lease"`
+	} `toml:"takeover"`
 }
 
 // ReadOperator reads the operator's file for the marshal of that name. An error names the key at fault, and the line
@@ -97,9 +102,32 @@
 			return nil, fmt.Errorf("operator's file %s: %w", path, err)
 		}
 	}
+	if f.Takeover.Enabled {
+		if err := o.takeover(cmp.Or(f.Takeover.Lease, "5s")); err != nil {
+			return nil, fmt.Errorf("operator's file %s: %w", path, err)
+		}
+	}
 	return o, nil
 }
 
+// leastLease is how often the log may elect a leader within a lease: an election must not cost anybody his work.
+const leastLease = 3
+
+func (o *Operator) takeover(lease string) error {
+	if o.Membership == nil || o.Policy == nil {
+		return errors.New("takeover.enabled: needs membership.enabled and policy.enabled")
+	}
+	span, err := spanOf("takeover.lease", lease)
+	if err != nil {
+		return err
+	}
+	if o.Lease = time.Duration(span * float64(time.Millisecond)); o.Lease < leastLease*o.Policy.Elect {
+		return fmt.Errorf("takeover.lease: want %d times policy.elect-within or more, %v, got %v", leastLease,
+			leastLease*o.Policy.Elect, o.Lease)
+	}
+	return nil
+}
+
 // beside is a path in the file, which is relative to the file.
 func beside(path, of string) string {
 	if filepath.IsAbs(of) {
@@ -231,7 +259,11 @@
 
 // String tells what holds of the operator's file.
 func (o *Operator) String() string {
-	lines := [][2]string{{"admin.listen", cmp.Or(o.Admin, "none")}, {"membership", "off"}, {"policy", "off"}}
+	lines := [][2]string{{"admin.listen", cmp.Or(o.Admin, "none")}, {"membership", "off"}, {"policy", "off"},
+		{"takeover", "off"}}
+	if o.Lease > 0 {
+		lines[3][1] = fmt.Sprintf("leases of %v", o.Lease)
+	}
 	if c := o.Policy; c != nil {
 		role := "a server"
 		if !c.IsServer() {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -50,10 +50,10 @@
 	return slices.ContainsFunc(c.Servers, func(s Server) bool { return s.Name == c.Name })
 }
 
-// Part is what the log is for: it takes its commands in the log's order, alike at every server. Apply and Snapshot are
-// called by one goroutine; Restore before them, or in their place.
+// Part is what the log is for: it takes its commands in the log's order, alike at every server; at is when a leader wrote
+// the entry, by its clock. Apply, Snapshot and Restore are never called at once.
 type Part interface {
-	Apply(index uint64, command []byte) (answer []byte)
+	Apply(index uint64, at time.Time, command []byte) (answer []byte)
 	Snapshot() ([]byte, error)
 	Restore(raw []byte) error
 }
@@ -303,11 +303,7 @@
 // is proposed again until one comes: the part has to know a command that comes twice.
 func (n *Node) Propose(ctx context.Context, kind byte, command []byte) ([]byte, error) {
 	var answer []byte
-	path := "/log/propose"
-	if end, ok := ctx.Deadline(); ok {
-		path += "?until=" + strconv.FormatInt(end.UnixMilli(), 10)
-	}
-	err := n.toLeader(ctx, path, append([]byte{kind}, command...), &answer)
+	err := n.toLeader(ctx, proposePath(ctx), append([]byte{kind}, command...), &answer)
 	return answer, err
 }
 
@@ -327,6 +323,49 @@
 	}
 }
 
+// Client reaches the log from a marshal that does not keep it.
+type Client struct {
+	Servers []Server
+	Calls   *http.Client
+	Elect   time.Duration
+}
+
+// Propose does as a Node's.
+func (c *Client) Propose(ctx context.Context, kind byte, command []byte) (answer []byte, err error) {
+	for at := 0; ; at++ {
+		tryCtx, cancel := context.WithTimeout(ctx, 3*c.Elect)
+		err = Call(tryCtx, c.Calls, c.Servers[at%len(c.Servers)].Address, http.MethodPost, proposePath(ctx), append([]byte{kind}, command...), &answer)
+		cancel()
+		if err == nil {
+			return answer, nil
+		}
+		if !pause(ctx, c.Elect/10) {
+			return nil, fmt.Errorf("%w: %w", ErrNoLeader, err)
+		}
+	}
+}
+
+// Get asks one server after another for what it holds.
+func (c *Client) Get(ctx context.Context, path string, to any) (err error) {
+	for _, s := range c.Servers {
+		tryCtx, cancel := context.WithTimeout(ctx, c.Elect)
+		err = Call(tryCtx, c.Calls, s.Address, http.MethodGet, path, nil, to)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+// proposePath tells the leader how long the answer is waited for.
+func proposePath(ctx context.Context) string {
+	if end, ok := ctx.Deadline(); ok {
+		return "/log/propose?until=" + strconv.FormatInt(end.UnixMilli(), 10)
+	}
+	return "/log/propose"
+}
+
 // toLeader asks the leader, whoever that is by then; answers go to to.
 func (n *Node) toLeader(ctx context.Context, path string, ask, to any) error {
 	err := ErrNoLeader
@@ -538,7 +577,7 @@
 	if l.Type != raft.LogCommand || len(l.Data) == 0 || m.parts[l.Data[0]] == nil {
 		return []byte(nil)
 	}
-	answer := m.parts[l.Data[0]].Apply(l.Index, l.Data[1:])
+	answer := m.parts[l.Data[0]].Apply(l.Index, l.AppendedAt, l.Data[1:])
 	m.last.Store(l.Index)
 	return answer
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -152,12 +152,22 @@
 }
 
 // Vote sends a vote. Its fate comes as news, once: never sent counts as an error.
-func (d *Desk) Vote(v logic.Vote) {
+func (d *Desk) Vote(v logic.Vote) { d.VoteUnder(v, nil) }
+
+// Fence names a piece of work that a vote goes by, and the token under which it is held. A desk that knows of fences
+// refuses a vote under a token below the highest that it has seen of that piece.
+type Fence struct {
+	Work  string `json:"work"`
+	Token uint64 `json:"token"`
+}
+
+// VoteUnder sends a vote with the fences that it goes by.
+func (d *Desk) VoteUnder(v logic.Vote, fences []Fence) {
 	go func() { // a write may block
 		d.mu.Lock()
 		l := d.line
 		d.mu.Unlock()
-		if l == nil || !l.vote(d.nextID(), v) {
+		if l == nil || !l.vote(d.nextID(), v, fences) {
 			d.told(logic.StageNews{ToVote: true, VoteFate: logic.VoteError})
 		}
 	}()
@@ -226,7 +236,7 @@
 }
 
 // vote writes a vote; false: it was not sent.
-func (l *link) vote(id uint64, v logic.Vote) bool {
+func (l *link) vote(id uint64, v logic.Vote, fences []Fence) bool {
 	l.mu.Lock()
 	if l.open == nil {
 		l.mu.Unlock()
@@ -234,7 +244,7 @@
 	}
 	l.open[id] = time.AfterFunc(l.desk.wait, func() { l.settle(id, logic.VoteTimeout) })
 	l.mu.Unlock()
-	if !l.write(encodeVote(id, v)) {
+	if !l.write(encodeVote(id, v, fences)) {
 		l.settle(id, logic.VoteError)
 		l.close() // a part of a line may stand on it
 	}
--- a/internal/desk/wire.go
+++ b/internal/desk/wire.go
@@ -103,7 +103,15 @@
 	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"method":"follow"}`+"\n", id)
 }
 
-func encodeVote(id uint64, v logic.Vote) []byte {
+func encodeVote(id uint64, v logic.Vote, fences []Fence) []byte {
+	more := ""
+	if len(fences) > 0 {
+		raw, err := json.Marshal(fences)
+		if err != nil {
+			panic(err) // texts and numbers
+		}
+		more = `,"fences":` + string(raw)
+	}
 	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"method":"castBallot","params":`+
-		`{"image":%d,"ring":%d,"opinion":%q}}`+"\n", id, int(v.Build), v.Stage, verdicts[v.Verdict])
+		`{"image":%d,"ring":%d,"opinion":%q%s}}`+"\n", id, int(v.Build), v.Stage, verdicts[v.Verdict], more)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 	"ottershed/internal/clock"
 	"ottershed/internal/marshal"
 	"ottershed/internal/settings"
+	"ottershed/internal/takeover"
 	"ottershed/logic"
 )
 
@@ -55,6 +56,7 @@
 	gate     *gate
 	server   *http.Server
 	leaving  atomic.Bool
+	resumed  func(*logic.PathGroup) takeover.Resume // nil: hits are not brought again
 
 	mu  sync.Mutex
 	ids map[string]bool // of hits that are open; the end of their handler empties it
@@ -84,6 +86,9 @@
 	return f
 }
 
+// Resume has hits taken that clients bring again from marshals that are gone, marked by X-Resume; before Serve.
+func (f *Front) Resume(decide func(*logic.PathGroup) takeover.Resume) { f.resumed = decide }
+
 // quietLog is for what clients do wrong, which is no line in our log.
 func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
 
@@ -132,6 +137,14 @@
 			refuse(w, status, fault)
 			return
 		}
+		if f.resumed != nil && r.Header.Get("X-Resume") == "1" && f.resumed(&group) == takeover.Refuse {
+			// What may have run is never forwarded by another marshal; its client hears so at once.
+			if f.comeBack > 0 {
+				w.Header().Set("Retry-After", strconv.FormatFloat(f.comeBack/1000, 'f', 3, 64))
+			}
+			refuse(w, http.StatusInternalServerError, "it may have run")
+			return
+		}
 		var body []byte
 		if r.ContentLength > 0 {
 			control := http.NewResponseController(w)
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,420 @@
+// Package keeper brings internal/takeover to one marshal: it holds the marshal's own piece of work in the replicated log,
+// writes checkpoints of it, takes over those of marshals that are gone, and lets votes out only under a lease.
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ottershed/internal/clock"
+	"ottershed/internal/consensus"
+	"ottershed/internal/desk"
+	"ottershed/internal/membership"
+	"ottershed/internal/takeover"
+	"ottershed/logic"
+)
+
+// Kind is that of its commands in the log.
+const Kind byte = 'l'
+
+// Log is the replicated log, at a server or at a marshal that follows.
+type Log interface {
+	Command(ctx context.Context, kind byte, command []byte) ([]byte, error)
+	Get(ctx context.Context, path string, to any) error
+}
+
+// Module is the marshal whose work it is.
+type Module interface {
+	Evidence(ctx context.Context) (logic.Evidence, bool)
+	Adopt(logic.Evidence)
+	Disown()
+	Told(logic.Event)
+}
+
+// Desk takes votes under fences.
+type Desk interface {
+	VoteUnder(v logic.Vote, fences []desk.Fence)
+}
+
+// Config is what the operator's file says, and what the process is.
+type Config struct {
+	Name  string
+	Run   uint64
+	Lease time.Duration
+}
+
+const (
+	ticks     = 4 // of a lease: between two commands that keep it
+	leasePath = "/lease/list"
+)
+
+// Keeper is a marshal's part.
+type Keeper struct {
+	cfg    Config
+	log    Log
+	module Module
+	desk   Desk
+	view   func() *membership.View
+	clock  *clock.Clock
+	lines  logrus.FieldLogger
+	hand   chan manual // takes that an operator asks for
+
+	mu     sync.Mutex
+	own    takeover.Own
+	merged []takeover.Past // whose work is among this marshal's, for the build on trial
+	build  logic.Build
+}
+
+type manual struct {
+	work  takeover.Work
+	reply chan error
+}
+
+// checkpoint is what a piece holds: what the marshal had seen, and what it had taken over that its module had not yet.
+type checkpoint struct {
+	Parts  []logic.Evidence
+	Merged []takeover.Past
+}
+
+// New makes a keeper; Run does the rest.
+func New(cfg Config, l Log, m Module, d Desk, view func() *membership.View, c *clock.Clock, lines logrus.FieldLogger) *Keeper {
+	return &Keeper{cfg: cfg, log: l, module: m, desk: d, view: view, clock: c, lines: lines, hand: make(chan manual),
+		own: takeover.Own{Work: takeover.TrialOf(cfg.Name), By: takeover.Holder{Name: cfg.Name, Run: cfg.Run},
+			Span: float64(cfg.Lease) / float64(time.Millisecond)}}
+}
+
+// Vote lets a vote out under the leases that this marshal holds, or tells the module that it did not go.
+func (k *Keeper) Vote(v logic.Vote) {
+	k.mu.Lock()
+	may, fences := k.own.MayVote(v.Verdict, k.clock.Now()), k.fences()
+	k.mu.Unlock()
+	if !may {
+		k.module.Told(logic.StageNews{ToVote: true, VoteFate: logic.VoteError})
+		return
+	}
+	k.desk.VoteUnder(v, fences)
+}
+
+// fences holds with the lock held.
+func (k *Keeper) fences() []desk.Fence {
+	if k.own.Token() == 0 {
+		return nil
+	}
+	out := []desk.Fence{{Work: string(k.own.Work), Token: uint64(k.own.Token())}}
+	for _, p := range k.merged {
+		out = append(out, desk.Fence{Work: string(p.Work), Token: uint64(p.Token)})
+	}
+	return out
+}
+
+// Run holds this marshal's work until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	every := time.NewTicker(k.cfg.Lease / ticks)
+	defer every.Stop()
+	for {
+		k.keep(ctx)
+		k.inherit(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-k.hand:
+			m.reply <- k.take(ctx, m.work)
+		case <-every.C:
+		}
+	}
+}
+
+// command sends a command and takes its reply.
+func (k *Keeper) command(ctx context.Context, c *takeover.Command) (*takeover.Reply, error) {
+	raw, err := msgpack.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("work: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.cfg.Lease)
+	defer cancel()
+	sent := k.clock.Now()
+	if raw, err = k.log.Command(ctx, Kind, raw); err != nil {
+		return nil, err
+	}
+	r := &takeover.Reply{}
+	if err := msgpack.Unmarshal(raw, r); err != nil {
+		return nil, fmt.Errorf("work: %w", err)
+	}
+	k.mu.Lock()
+	disowned := k.own.Said(c, sent, r)
+	if disowned {
+		k.merged = nil
+	}
+	k.mu.Unlock()
+	if disowned {
+		k.module.Disown()
+		k.lines.WithFields(logrus.Fields{"work": k.own.Work, "token": uint64(c.Token), "refused": r.Refused}).Warn("work lost")
+	}
+	return r, nil
+}
+
+// keep claims this marshal's own piece, or keeps it, with what the module has seen by now.
+func (k *Keeper) keep(ctx context.Context) {
+	raw, _ := k.checkpoint(ctx)
+	k.mu.Lock()
+	c := k.own.Next(raw)
+	k.mu.Unlock()
+	r, err := k.command(ctx, &c)
+	switch {
+	case err != nil:
+		if ctx.Err() == nil {
+			k.lines.WithError(err).Debug("work not kept")
+		}
+	case c.Verb == takeover.Claim && r.Refused != "":
+		k.lines.WithFields(logrus.Fields{"work": c.Work, "refused": r.Refused}).Debug("work not claimed")
+	case c.Verb == takeover.Claim:
+		k.lines.WithFields(logrus.Fields{"work": c.Work, "token": uint64(r.Lease.Token), "bytes": len(r.Lease.Checkpoint)}).Info("work claimed")
+		k.resume(r.Lease.Checkpoint, r.Lease.Merged)
+	}
+}
+
+// checkpoint is what this marshal has seen by now.
+func (k *Keeper) checkpoint(ctx context.Context) ([]byte, []logic.Evidence) {
+	ctx, cancel := context.WithTimeout(ctx, k.cfg.Lease/ticks)
+	defer cancel()
+	e, any := k.module.Evidence(ctx)
+	if !any {
+		return nil, nil
+	}
+	k.mu.Lock()
+	if e.Build != k.build { // fences of an earlier build's work have no use any more
+		k.build, k.merged = e.Build, nil
+	}
+	c := checkpoint{Parts: []logic.Evidence{e}, Merged: k.merged}
+	k.mu.Unlock()
+	raw, err := msgpack.Marshal(&c)
+	if err != nil || len(raw) > takeover.LongestCheck {
+		k.lines.WithError(err).WithField("bytes", len(raw)).Warn("work: checkpoint not written")
+		return nil, c.Parts
+	}
+	return raw, c.Parts
+}
+
+// resume has the module go on from a checkpoint.
+func (k *Keeper) resume(raw []byte, merged []takeover.Past) (hits int) {
+	var c checkpoint
+	if len(raw) == 0 {
+		return 0
+	}
+	if err := msgpack.Unmarshal(raw, &c); err != nil {
+		k.lines.WithError(err).Error("work: checkpoint can't be read")
+		return 0
+	}
+	k.mu.Lock()
+	k.merged = append(k.merged, c.Merged...)
+	k.mu.Unlock()
+	for _, e := range c.Parts {
+		k.module.Adopt(e)
+		for _, n := range e.Counts {
+			hits += int(n.Good + n.Bad)
+		}
+	}
+	return hits
+}
+
+// inherit takes over what marshals that are gone have left.
+func (k *Keeper) inherit(ctx context.Context) {
+	k.mu.Lock()
+	holds := k.own.Holds(k.clock.Now())
+	k.mu.Unlock()
+	if !holds { // one that can't keep its own work is no heir
+		return
+	}
+	leases, err := k.Leases(ctx)
+	if err != nil {
+		return
+	}
+	for _, w := range takeover.Due(k.cfg.Name, k.view(), leases, k.own.Span, k.clock.Now()) {
+		if err := k.take(ctx, w); err != nil && ctx.Err() == nil {
+			k.lines.WithError(err).WithField("work", w).Info("work not taken over")
+		}
+	}
+}
+
+// Take takes a piece over for an operator, under the same terms.
+func (k *Keeper) Take(ctx context.Context, w takeover.Work) error {
+	m := manual{w, make(chan error, 1)}
+	select {
+	case k.hand <- m:
+		return <-m.reply
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// take takes a piece over: its lease, then in one entry its end and this marshal's new checkpoint, and only then the module
+// hears of it. Danger: told before, a module would have seen what another takes over as well if the entry is refused.
+func (k *Keeper) take(ctx context.Context, w takeover.Work) error {
+	k.mu.Lock()
+	own := k.own
+	k.mu.Unlock()
+	if w == own.Work {
+		return errors.New("it is this marshal's own")
+	}
+	taken, err := k.command(ctx, &takeover.Command{Verb: takeover.Take, Work: w, By: own.By, Span: own.Span})
+	if err != nil {
+		return err
+	}
+	if taken.Refused != "" {
+		return errors.New(taken.Refused)
+	}
+	k.lines.WithFields(logrus.Fields{"work": w, "token": uint64(taken.Lease.Token)}).Info("work taken")
+	_, parts := k.checkpoint(ctx)
+	var theirs checkpoint
+	if len(taken.Lease.Checkpoint) > 0 {
+		if err := msgpack.Unmarshal(taken.Lease.Checkpoint, &theirs); err != nil {
+			return fmt.Errorf("its checkpoint can't be read: %w", err)
+		}
+	}
+	past := takeover.Past{Work: w, Token: taken.Lease.Token}
+	k.mu.Lock()
+	both := checkpoint{Parts: append(parts, theirs.Parts...), Merged: append(append(append([]takeover.Past(nil), k.merged...),
+		theirs.Merged...), past)}
+	k.mu.Unlock()
+	raw, err := msgpack.Marshal(&both)
+	if err != nil {
+		return fmt.Errorf("work: %w", err)
+	}
+	if len(raw) > takeover.LongestCheck {
+		return fmt.Errorf("both together are %d bytes", len(raw))
+	}
+	merge := &takeover.Command{Verb: takeover.Merge, Work: w, By: own.By, Token: taken.Lease.Token, Span: own.Span,
+		Into: own.Work, IntoToken: own.Token(), Checkpoint: raw}
+	r, err := k.command(ctx, merge)
+	for err != nil {
+		// Danger: given up without an answer, it may have been done; the next checkpoint, without their work, would then be
+		// written over it.
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(k.cfg.Lease / ticks):
+		}
+		r, err = k.command(ctx, merge)
+	}
+	if r.Refused != "" {
+		return errors.New(r.Refused)
+	}
+	hits := k.resume(taken.Lease.Checkpoint, nil)
+	k.mu.Lock()
+	k.merged = append(k.merged, past)
+	k.mu.Unlock()
+	k.lines.WithFields(logrus.Fields{"work": w, "token": uint64(taken.Lease.Token), "into": own.Work, "hits": hits,
+		"of": taken.Lease.Owner.Name}).Info("work resumed")
+	return nil
+}
+
+// Leave gives this marshal's work free, for another to take it at once.
+func (k *Keeper) Leave(ctx context.Context) {
+	raw, _ := k.checkpoint(ctx)
+	k.mu.Lock()
+	own := k.own
+	k.mu.Unlock()
+	if !own.Holds(k.clock.Now()) {
+		return
+	}
+	for _, c := range []takeover.Command{own.Next(raw), {Verb: takeover.Release, Work: own.Work, By: own.By, Token: own.Token()}} {
+		if _, err := k.command(ctx, &c); err != nil {
+			k.lines.WithError(err).Warn("work not released")
+			return
+		}
+	}
+	k.lines.WithFields(logrus.Fields{"work": own.Work, "token": uint64(own.Token())}).Info("work released")
+}
+
+// Leases are all, as a server of the log has them now, without checkpoints.
+func (k *Keeper) Leases(ctx context.Context) (leases []takeover.Lease, err error) {
+	ctx, cancel := context.WithTimeout(ctx, k.cfg.Lease)
+	defer cancel()
+	return leases, k.log.Get(ctx, leasePath, &leases)
+}
+
+// Line is one line of `ottershed work`.
+type Line struct {
+	Work    takeover.Work    `json:"work"`
+	Owner   string           `json:"owner"`
+	Run     uint64           `json:"run,string"`
+	Token   takeover.Token   `json:"token"`
+	Until   float64          `json:"until_ms"` // Unix
+	Lapsed  bool             `json:"lapsed"`
+	Written float64          `json:"written_ms"` // its newest checkpoint, Unix; 0: none
+	Merged  []takeover.Past  `json:"merged,omitempty"`
+	State   membership.State `json:"owner_state"`
+}
+
+// Answer is what `ottershed work` asks for.
+func (k *Keeper) Answer(ctx context.Context) ([]Line, error) {
+	leases, err := k.Leases(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out, view, now := []Line{}, k.view(), k.clock.Now()
+	for _, l := range leases {
+		line := Line{Work: l.Work, Owner: l.Owner.Name, Run: l.Owner.Run, Token: l.Token, Until: l.Until, Lapsed: now >= l.Until,
+			Written: l.Written, Merged: l.Merged, State: membership.Dead}
+		if m, known := view.Get(membership.Name(l.Owner.Name)); known {
+			line.State = m.State
+		}
+		out = append(out, line)
+	}
+	return out, nil
+}
+
+// Part is the leases' part of the log, at a server.
+type Part struct {
+	mu   sync.Mutex
+	book *takeover.Book
+}
+
+// NewPart makes it and has its list answered.
+func NewPart(n *consensus.Node) *Part {
+	p := &Part{book: takeover.NewBook()}
+	n.Add(Kind, p)
+	n.Handle("GET "+leasePath, func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		leases := p.book.Leases()
+		p.mu.Unlock()
+		consensus.Answer(w, leases)
+	})
+	return p
+}
+
+// Apply takes a command.
+func (p *Part) Apply(_ uint64, at time.Time, command []byte) []byte {
+	var c takeover.Command
+	r := takeover.Reply{Refused: "not a command"}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := msgpack.Unmarshal(command, &c); err == nil {
+		r = p.book.Apply(&c, float64(at.UnixMicro())/1000)
+	}
+	raw, err := msgpack.Marshal(&r)
+	if err != nil {
+		panic(err) // plain fields
+	}
+	return raw
+}
+
+// Snapshot and Restore are those of the log's parts.
+func (p *Part) Snapshot() ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Encode()
+}
+
+func (p *Part) Restore(raw []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Restore(raw)
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -14,6 +14,7 @@
 
 	"ottershed/internal/admin"
 	"ottershed/internal/faultnet"
+	"ottershed/internal/keeper"
 	"ottershed/internal/membership"
 	"ottershed/internal/peers"
 	"ottershed/internal/policynode"
@@ -36,6 +37,7 @@
 
 	Servers int           // the first so many marshals keep the policy's log; 0: no policy
 	Elect   time.Duration // without a word of the leader until another is elected
+	Lease   time.Duration // of work in hand; 0: no takeover
 }
 
 // Fleet is several marshal processes on loopback, each with an address of its own, and a relay in front of each.
@@ -181,9 +183,27 @@
 		}
 		fmt.Fprintf(&b, "[[policy.servers]]\nname = %q\naddress = %q\n", f.names[s], at)
 	}
+	if f.set.Lease > 0 {
+		fmt.Fprintf(&b, "[takeover]\nenabled = true\nlease = %q\n", f.set.Lease.String())
+	}
 	return b.String(), nil
 }
 
+// Work is who owns what, as a marshal learns it.
+func (f *Fleet) Work(ctx context.Context, i int) (lines []keeper.Line, err error) {
+	raw, err := admin.Ask(ctx, f.Admin(i), "/work", []byte("{}"))
+	if err != nil {
+		return nil, err
+	}
+	return lines, json.Unmarshal(raw, &lines)
+}
+
+// Take has a marshal take a piece of work over.
+func (f *Fleet) Take(ctx context.Context, i int, work string) error {
+	_, err := admin.Ask(ctx, f.Admin(i), "/work/take", []byte(work))
+	return err
+}
+
 // Store is the directory of a marshal's store.
 func (f *Fleet) Store(i int) string { return f.File(i, "store") }
 
--- a/internal/lab/hits.go
+++ b/internal/lab/hits.go
@@ -35,6 +35,15 @@
 
 // Hit sends one hit to a marshal: a repeatable one to "read", a mutating one to "send-text".
 func (c *Clients) Hit(ctx context.Context, address, group, id string) (Ended, error) {
+	return c.hit(ctx, address, group, id, false)
+}
+
+// Resume brings a hit again, by its id, that another marshal had when it was lost.
+func (c *Clients) Resume(ctx context.Context, address, group, id string) (Ended, error) {
+	return c.hit(ctx, address, group, id, true)
+}
+
+func (c *Clients) hit(ctx context.Context, address, group, id string, again bool) (Ended, error) {
 	method, body := http.MethodGet, io.Reader(nil)
 	if group == "send-text" {
 		method, body = http.MethodPost, strings.NewReader("the river rises")
@@ -46,6 +55,9 @@
 	}
 	req.Header.Set("X-Correlation-Id", id)
 	req.Header.Set("X-Time-Left", fmt.Sprintf("%.3f", clientTimeout.Seconds()))
+	if again {
+		req.Header.Set("X-Resume", "1")
+	}
 	res, err := c.http.Do(req)
 	if err != nil {
 		return Ended{Took: time.Since(began)}, err
--- a/internal/marshal/core.go
+++ b/internal/marshal/core.go
@@ -38,6 +38,11 @@
 	Handle(now logic.Millis, event logic.Event) []logic.Action
 }
 
+// witness is a module that tells what it has seen.
+type witness interface {
+	Evidence() (logic.Evidence, bool)
+}
+
 // open is a hit that waits for its final answer or for endings of its forwards.
 type open struct {
 	hit      *Hit
@@ -89,6 +94,8 @@
 	}
 	listTold struct{ list List }
 	told     struct{ event logic.Event } // from the desk
+
+	evidenceAsked struct{ reply chan<- *logic.Evidence } // it has room
 )
 
 func (hitTaken) message() {}
@@ -97,6 +104,8 @@
 func (listTold) message() {}
 func (told) message()     {}
 
+func (evidenceAsked) message() {}
+
 // handle takes one message.
 func (c *core) handle(now logic.Millis, msg message) {
 	switch msg := msg.(type) {
@@ -108,6 +117,14 @@
 		c.ended(now, msg)
 	case listTold:
 		c.listTold(now, msg.list)
+	case evidenceAsked:
+		var found *logic.Evidence
+		if w, ok := c.module.(witness); ok {
+			if e, any := w.Evidence(); any {
+				found = &e
+			}
+		}
+		msg.reply <- found
 	case told:
 		if e, ok := msg.event.(logic.StageNews); ok {
 			c.log.WithFields(logrus.Fields{"build": e.Build, "stage": e.Stage, "phase": e.Phase, "cap": e.Cap, "age_ms": e.Age,
--- a/internal/marshal/marshal.go
+++ b/internal/marshal/marshal.go
@@ -61,11 +61,31 @@
 // Settle hands over new figures of the deployment; they pass before hits that wait, and what is open stays.
 func (m *Marshal) Settle(s logic.Settings) { m.post(told{logic.SettingsChanged{Settings: s}}) }
 
+// Adopt hands over what a marshal that is gone had seen; once.
+func (m *Marshal) Adopt(e logic.Evidence) { m.post(told{logic.Adopted{Evidence: e}}) }
+
+// Disown says that what this marshal has seen is another's by now.
+func (m *Marshal) Disown() { m.post(told{logic.Disowned{}}) }
+
+// Evidence is what the module has seen of the build on trial; false where there is none, or ctx ends before.
+func (m *Marshal) Evidence(ctx context.Context) (logic.Evidence, bool) {
+	reply := make(chan *logic.Evidence, 1)
+	m.post(evidenceAsked{reply})
+	select {
+	case e := <-reply:
+		if e != nil {
+			return *e, true
+		}
+	case <-ctx.Done():
+	}
+	return logic.Evidence{}, false
+}
+
 func (m *Marshal) post(msg message) {
 	p := posted{msg, m.clock.Now()}
 	m.mu.Lock()
 	switch msg.(type) {
-	case listTold, told:
+	case listTold, told, evidenceAsked:
 		m.news = append(m.news, p)
 	default:
 		m.hits = append(m.hits, p)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -51,6 +51,7 @@
 	clock   *clock.Clock
 	log     logrus.FieldLogger
 	det     *membership.Detector // the owner's
+	run     membership.RunID
 	in      chan *membership.Packet
 	leave   chan chan struct{}
 	changes chan membership.Change
@@ -84,13 +85,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("membership.bind: %w", err)
 	}
-	p := &Peers{conn: conn, codec: cfg.Codec, clock: c, log: log, det: membership.New(set),
+	p := &Peers{conn: conn, codec: cfg.Codec, clock: c, log: log, det: membership.New(set), run: set.Run,
 		in: make(chan *membership.Packet, inbox), leave: make(chan chan struct{}),
 		changes: make(chan membership.Change, outbox)}
 	p.publish()
 	return p, nil
 }
 
+// RunID is the number by which this process is told from others of its name.
+func (p *Peers) RunID() membership.RunID { return p.run }
+
 // View is the present view. It is never nil and does not change.
 func (p *Peers) View() *membership.View { return p.view.Load() }
 
--- a/internal/policynode/node.go
+++ b/internal/policynode/node.go
@@ -106,7 +106,6 @@
 	n.raft.Add(Kind, part{n})
 	n.raft.Handle("GET /policy/local", n.answerLocal)
 	n.raft.Handle("POST /policy/check", n.answerCheck)
-	n.raft.Handle("POST /policy/propose", n.answerPropose)
 	n.raft.Handle("POST /policy/since", n.answerSince)
 	return n, nil
 }
@@ -196,7 +195,7 @@
 // part is the policy's part of the log.
 type part struct{ *Node }
 
-func (p part) Apply(_ uint64, command []byte) []byte {
+func (p part) Apply(_ uint64, _ time.Time, command []byte) []byte {
 	var proposal policystore.Proposal
 	out := policystore.Outcome{Refused: "not a proposal"}
 	p.mu.Lock()
@@ -467,12 +466,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeIn)
 	defer cancel()
-	var answer []byte
-	if n.raft != nil {
-		answer, err = n.raft.Propose(ctx, Kind, raw)
-	} else {
-		answer, err = n.proposeBy(ctx, raw)
-	}
+	answer, err := n.Command(ctx, Kind, raw)
 	var out policystore.Outcome
 	if err == nil {
 		err = json.Unmarshal(answer, &out)
@@ -487,45 +481,25 @@
 	return Proposed{ID: p.ID, Version: out.Version, Again: out.Again}, nil
 }
 
-// proposeBy has a server put it into the log.
-func (n *Node) proposeBy(ctx context.Context, raw []byte) (answer []byte, err error) {
-	for at := 0; ; at++ {
-		s := n.cfg.Servers[at%len(n.cfg.Servers)]
-		if err = consensus.Call(ctx, n.calls, s.Address, http.MethodPost, "/policy/propose"+until(ctx), raw, &answer); err == nil {
-			return answer, nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, err
-		case <-time.After(n.cfg.Elect / 10):
-		}
+// Command puts a command of any kind into the log and returns its part's answer.
+func (n *Node) Command(ctx context.Context, kind byte, command []byte) ([]byte, error) {
+	if n.raft != nil {
+		return n.raft.Propose(ctx, kind, command)
 	}
+	return n.client().Propose(ctx, kind, command)
 }
 
-// until tells a server how long an answer is waited for.
-func until(ctx context.Context) string {
-	end, _ := ctx.Deadline()
-	return "?until=" + strconv.FormatInt(end.UnixMilli(), 10)
+// Get asks a server, this one first where it is one, for what it holds.
+func (n *Node) Get(ctx context.Context, path string, to any) error {
+	return n.client().Get(ctx, path, to)
 }
 
-func (n *Node) answerPropose(w http.ResponseWriter, r *http.Request) {
-	ctx := r.Context()
-	if ms, err := strconv.ParseInt(r.URL.Query().Get("until"), 10, 64); err == nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(ms))
-		defer cancel()
-	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, longestText))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	answer, err := n.raft.Propose(ctx, Kind, raw)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
+func (n *Node) client() *consensus.Client {
+	servers := slices.Clone(n.cfg.Servers)
+	if i := slices.IndexFunc(servers, func(s consensus.Server) bool { return s.Name == n.cfg.Name }); i > 0 {
+		servers[0], servers[i] = servers[i], servers[0]
 	}
-	w.Write(answer)
+	return &consensus.Client{Servers: servers, Calls: n.calls, Elect: n.cfg.Elect}
 }
 
 // checkAll asks the other servers whether they could run a policy. One that can't be reached has no say: if it can't
--- /dev/null
+++ b/internal/takeover/book.go
@@ -0,0 +1,264 @@
+// Package takeover decides who owns which piece of work, free of I/O. A piece is held under a lease with a fencing token;
+// the leases are kept in the replicated log, so that all see them alike. When an owner is gone, one other takes the piece
+// from its last checkpoint, under a higher token, and whatever comes under the old one is refused. internal/keeper brings
+// it to a marshal; docs/takeover.md says what was weighed.
+package takeover
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Millis is a time or a span in milliseconds.
+type Millis = float64
+
+// Work names a piece: its kind, and the marshal that it began with.
+type Work string
+
+// TrialOf is what a marshal has seen of the build on trial, and its vote.
+func TrialOf(marshal string) Work { return Work("trial/" + marshal) }
+
+// Token fences a piece: each lease that is granted has a higher one than any before, of whatever piece.
+type Token uint64
+
+// Holder is one process of a marshal.
+type Holder struct {
+	Name string
+	Run  uint64 // drawn at each start
+}
+
+// Lease is a piece of work with its owner.
+type Lease struct {
+	Work       Work
+	Owner      Holder
+	Token      Token
+	Until      Millis // Unix, by the log's clock; past it another may take the piece
+	Checkpoint []byte // the owner's, to go on from
+	Written    Millis // when that was
+	Merged     []Past // pieces whose work is in the checkpoint, the newest last
+}
+
+// Past is a piece that was merged into another, by the token under which it was taken.
+type Past struct {
+	Work  Work
+	Token Token
+}
+
+// Verb is what a command wants.
+type Verb int
+
+const (
+	Claim   Verb = iota + 1 // a marshal's own piece, free, lapsed, or held by an earlier run of it
+	Keep                    // hold it longer, with a newer checkpoint where there is one
+	Take                    // another's piece, once its lease has lapsed
+	Merge                   // end a piece that was taken: what it held is in the checkpoint of one's own from now on
+	Release                 // it may be taken at once
+)
+
+// Command is one entry of the log.
+type Command struct {
+	Verb       Verb
+	Work       Work
+	By         Holder
+	Token      Token // of the lease that it goes by; none for Claim and Take
+	Span       Millis
+	Checkpoint []byte // none: the one before stays
+	Into       Work   // Merge: one's own
+	IntoToken  Token
+}
+
+// Reply is what became of a command.
+type Reply struct {
+	Refused string // why; empty: it was done
+	Lease   Lease  // Claim and Take: with the checkpoint to go on from
+}
+
+// Bounds of what the book keeps.
+const (
+	mostLeases     = 8192
+	LongestCheck   = 256 << 10 // bytes of a checkpoint
+	longestWork    = 80
+	shortest       = 50.0 // ms of a lease
+	longestLease   = 3.6e6
+	longestHolders = 64
+	mostMerged     = 64 // of a lease: for votes, and for a Merge that comes twice
+)
+
+// Book holds all leases. Its clock is that of the log's entries and never goes back.
+type Book struct {
+	leases map[Work]*Lease
+	token  Token
+	now    Millis
+}
+
+// NewBook makes an empty one.
+func NewBook() *Book { return &Book{leases: map[Work]*Lease{}} }
+
+// Leases are all, by name, without their checkpoints.
+func (b *Book) Leases() []Lease {
+	var out []Lease
+	for _, w := range slices.Sorted(maps.Keys(b.leases)) {
+		l := *b.leases[w]
+		l.Checkpoint = nil
+		out = append(out, l)
+	}
+	return out
+}
+
+// Apply takes the next command of the log; at is when its leader wrote it.
+func (b *Book) Apply(c *Command, at Millis) Reply {
+	// Danger: a new leader's clock may be behind that of the one before; a lease that had lapsed would hold again.
+	b.now = max(b.now, at)
+	if fault := c.check(); fault != "" {
+		return Reply{Refused: fault}
+	}
+	l := b.leases[c.Work]
+	switch c.Verb {
+	case Claim:
+		return b.claim(l, c)
+	case Take:
+		return b.take(l, c)
+	}
+	if c.Verb == Merge && b.merged(c) {
+		return Reply{} // its answer got lost
+	}
+	if l == nil || l.Token != c.Token || l.Owner != c.By {
+		return Reply{Refused: fenced(c, l)}
+	}
+	switch c.Verb {
+	case Keep:
+		l.Until = b.now + c.Span
+		if c.Checkpoint != nil {
+			l.Checkpoint, l.Written = c.Checkpoint, b.now
+		}
+	case Release:
+		l.Until = b.now
+	case Merge:
+		into := b.leases[c.Into]
+		if into == nil || into.Token != c.IntoToken || into.Owner != c.By {
+			return Reply{Refused: fenced(&Command{Work: c.Into, Token: c.IntoToken, By: c.By}, into)}
+		}
+		// Danger: ended first and written afterwards, a piece would be lost with its new owner between; the other way
+		// round it would be taken over twice. So both are one entry.
+		into.Checkpoint, into.Written, into.Until = c.Checkpoint, b.now, b.now+c.Span
+		into.Merged = append(append(into.Merged, l.Merged...), Past{c.Work, c.Token})
+		if over := len(into.Merged) - mostMerged; over > 0 {
+			into.Merged = slices.Clone(into.Merged[over:])
+		}
+		delete(b.leases, c.Work)
+	}
+	return Reply{}
+}
+
+// merged tells whether a Merge was done before.
+func (b *Book) merged(c *Command) bool {
+	into := b.leases[c.Into]
+	return into != nil && into.Owner == c.By && into.Token == c.IntoToken && slices.Contains(into.Merged, Past{c.Work, c.Token})
+}
+
+func (c *Command) check() string {
+	switch {
+	case c.Verb < Claim || c.Verb > Release:
+		return fmt.Sprintf("no command %d", c.Verb)
+	case c.Work == "" || len(c.Work) > longestWork || len(c.Into) > longestWork || !strings.Contains(string(c.Work), "/"):
+		return fmt.Sprintf("no piece of work: %q", c.Work)
+	case c.By.Name == "" || len(c.By.Name) > longestHolders:
+		return "nobody asks"
+	case c.Verb != Release && (c.Span < shortest || c.Span > longestLease):
+		return fmt.Sprintf("a lease of %g ms", c.Span)
+	case len(c.Checkpoint) > LongestCheck:
+		return fmt.Sprintf("a checkpoint of %d bytes", len(c.Checkpoint))
+	case c.Verb == Merge && c.Work == c.Into:
+		return "a piece does not go into itself"
+	}
+	return ""
+}
+
+// fenced says by what a late command is refused.
+func fenced(c *Command, l *Lease) string {
+	if l == nil {
+		return fmt.Sprintf("%s is no piece any more; token %d is of the past", c.Work, c.Token)
+	}
+	return fmt.Sprintf("%s is held by %s under token %d, not by %s under %d", c.Work, l.Owner.Name, l.Token, c.By.Name, c.Token)
+}
+
+func (b *Book) claim(l *Lease, c *Command) Reply {
+	if l != nil && l.Owner.Name != c.By.Name && b.now < l.Until {
+		return Reply{Refused: fmt.Sprintf("%s is held by %s under token %d", c.Work, l.Owner.Name, l.Token)}
+	}
+	if l == nil && len(b.leases) >= mostLeases {
+		return Reply{Refused: "no room for more pieces"}
+	}
+	return b.grant(l, c)
+}
+
+func (b *Book) take(l *Lease, c *Command) Reply {
+	switch {
+	case l == nil:
+		return Reply{Refused: fmt.Sprintf("%s is no piece any more", c.Work)}
+	case l.Owner == c.By: // its answer got lost
+		return Reply{Lease: *l}
+	case b.now < l.Until:
+		return Reply{Refused: fmt.Sprintf("%s is held by %s under token %d for %.0f ms more", c.Work, l.Owner.Name, l.Token, l.Until-b.now)}
+	}
+	return b.grant(l, c)
+}
+
+func (b *Book) grant(l *Lease, c *Command) Reply {
+	if l == nil {
+		l = &Lease{Work: c.Work}
+		b.leases[c.Work] = l
+	}
+	b.token++
+	l.Owner, l.Token, l.Until = c.By, b.token, b.now+c.Span
+	return Reply{Lease: *l}
+}
+
+// Find is the lease of a piece with its checkpoint.
+func (b *Book) Find(w Work) (Lease, bool) {
+	l := b.leases[w]
+	if l == nil {
+		return Lease{}, false
+	}
+	return *l, true
+}
+
+// book is what a snapshot holds.
+type book struct {
+	Leases []Lease
+	Token  Token
+	Now    Millis
+}
+
+// Encode writes all.
+func (b *Book) Encode() ([]byte, error) {
+	all := book{Token: b.token, Now: b.now}
+	for _, w := range slices.Sorted(maps.Keys(b.leases)) {
+		all.Leases = append(all.Leases, *b.leases[w])
+	}
+	raw, err := msgpack.Marshal(&all)
+	if err != nil {
+		return nil, fmt.Errorf("leases: %w", err)
+	}
+	return raw, nil
+}
+
+// Restore takes the place of all by what Encode wrote.
+func (b *Book) Restore(raw []byte) error {
+	var all book
+	if err := msgpack.Unmarshal(raw, &all); err != nil {
+		return fmt.Errorf("leases: %w", err)
+	}
+	*b = Book{leases: map[Work]*Lease{}, token: all.Token, now: all.Now}
+	for _, l := range all.Leases {
+		if l.Token > b.token {
+			return fmt.Errorf("leases: %s has token %d, above all that were given", l.Work, l.Token)
+		}
+		b.leases[l.Work] = &l
+	}
+	return nil
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -99,6 +99,35 @@
 // granularity stay as at its start; what it has taken stays open.
 type SettingsChanged struct{ Settings Settings }
 
+// Evidence is what a marshal has seen of the newest build, in a form that another can take over.
+type Evidence struct {
+	Build  Build
+	Stage  int
+	Groups []GroupEvidence // of this stage
+	Counts []NodeCount     // since the build was offered
+}
+
+// GroupEvidence holds one path group's outcomes of either build, oldest first, each against the pace of the earlier build;
+// a failure is infinite. No name: all path groups together.
+type GroupEvidence struct {
+	Group     GroupName
+	Blue, Grn []float64
+}
+
+// NodeCount holds how many hits of a path group a node has answered, good and bad. No node: earlier ones that have left.
+type NodeCount struct {
+	Node      NodeID
+	Build     Build
+	Group     GroupName
+	Good, Bad float64
+}
+
+// Adopted hands over the evidence of a marshal that is gone, once.
+type Adopted struct{ Evidence }
+
+// Disowned says that this marshal's evidence has been taken over by another: it begins the stage anew.
+type Disowned struct{}
+
 // NodeState is what the list says of a node.
 type NodeState int
 
@@ -243,6 +272,8 @@
 func (PeerSaid) event()        {}
 func (StageNews) event()       {}
 func (SettingsChanged) event() {}
+func (Adopted) event()         {}
+func (Disowned) event()        {}
 func (Tally) event()           {}
 func (Flagged) event()         {}
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,4 @@
 // Package logic decides what a marshal does with every hit while a new build replaces the earlier one.
-//
 // Callers make one Marshal an instance with New and give it what happened, in order, through Handle, which
 // returns what is to be done. Types are in api.go, what is kept in state.go. Grn: on trial; blue: earlier.
 package logic
@@ -35,8 +34,7 @@
 	crowded   = 0.7           // share of answers that take long for their target, from which power is short
 	mostLooks = 3             // at nodes, for one forward
 	mostGaps  = 4             // that a group counts for against the time before the trial
-
-	tiny = 1e-9
+	tiny      = 1e-9
 )
 
 // New makes an instance that knows nothing but its settings.
@@ -134,6 +132,10 @@
 		m.stageNews(e)
 	case SettingsChanged:
 		m.settle(e.Settings)
+	case Adopted: // what a marshal that is gone has seen of this build stands as if seen here
+		m.adopt(e.Evidence, m.told && e.Build == m.news.Build, e.Stage == m.news.Stage)
+	case Disowned: // and what this one has seen stands with another by now
+		m.disown()
 	case Tally:
 		m.tallied(e)
 	case Flagged: // a wrong answer is a failure; only a share of them is told
@@ -447,9 +449,8 @@
 				}
 			}
 		}
-		// Danger: a thin marshal has a forward for few cold nodes at a time. By their own weight alone those
-		// would stay empty, and the warm ones beside them, of the same build or zone, crowd. So they stand in
-		// for the others.
+		// Danger: a thin marshal has a forward for few cold nodes at a time. By their own weight alone those would
+		// stay empty, and the warm ones of the same build or zone crowd. So they stand in for the others.
 		for i, n := range m.from[away] {
 			if m.warmth(n) < 1 {
 				m.weights[away][i] *= cold / open
