--- a/cmd/ottershed/fleet.go
+++ b/cmd/ottershed/fleet.go
@@ -85,6 +85,7 @@
 		log.WithField("lease", o.Lease.String()).Info("takeover on")
 		if f.admin != nil {
 			f.admin.Post("/work", func(ctx context.Context, _ []byte) (any, error) { return f.keeper.Answer(ctx) })
+			f.admin.GetWith("/work/seen", func(ctx context.Context) any { return f.keeper.Seen(ctx) })
 			f.admin.Post("/work/take", func(ctx context.Context, body []byte) (any, error) {
 				return struct{}{}, f.keeper.Take(ctx, takeover.Work(body))
 			})
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -217,13 +217,33 @@
 	k.mu.Unlock()
 	for _, e := range c.Parts {
 		k.module.Adopt(e)
-		for _, n := range e.Counts {
-			hits += int(n.Good + n.Bad)
-		}
+		hits += answered(&e)
 	}
 	return hits
 }
 
+// answered is how many answered hits are in evidence.
+func answered(e *logic.Evidence) int {
+	sum := 0.0
+	for _, n := range e.Counts {
+		sum += n.Good + n.Bad
+	}
+	return int(sum)
+}
+
+// Seen is what this marshal has seen of the build on trial, others' taken over included.
+type Seen struct {
+	Build int `json:"build"`
+	Stage int `json:"stage"`
+	Hits  int `json:"hits"` // answered, of both builds, since this one was offered
+}
+
+// Seen is that by now; all zero where no build is on trial.
+func (k *Keeper) Seen(ctx context.Context) Seen {
+	e, _ := k.module.Evidence(ctx)
+	return Seen{Build: int(e.Build), Stage: e.Stage, Hits: answered(&e)}
+}
+
 // inherit takes over what marshals that are gone have left.
 func (k *Keeper) inherit(ctx context.Context) {
 	k.mu.Lock()
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -198,6 +198,21 @@
 	return lines, json.Unmarshal(raw, &lines)
 }
 
+// Seen sums what all marshals that run have seen of the build on trial: each answered hit once, wherever it was answered.
+func (f *Fleet) Seen(ctx context.Context) (hits int, err error) {
+	for i := range f.names {
+		if !f.Process(i).Running() {
+			continue
+		}
+		var s keeper.Seen
+		if err := f.ask(ctx, i, "/work/seen", &s); err != nil {
+			return 0, err
+		}
+		hits += s.Hits
+	}
+	return hits, nil
+}
+
 // Take has a marshal take a piece of work over.
 func (f *Fleet) Take(ctx context.Context, i int, work string) error {
 	_, err := admin.Ask(ctx, f.Admin(i), "/work/take", []byte(work))
