Pushed lists are asked for again within the drain grace while the agent is silent

Ruled out: restarts (first ones stop at 21.07 s) and the module, which holds no node that the list says drains. At fault: watch.run in internal/discovery, whose call for the whole list stayed open for up to a second at an agent that answers none of the calls it took while it was down.

Change: while the agent is silent another call goes out beside the open ones every quarter of the grace for drains (from the settings); the first answer counts, a slow agent is heard all the same. Only where lists are pushed.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,6 +24,7 @@
 	queued  = 4                      // part of the time in which a marshal must ask: for an answer that waits its turn
 	pause   = 50 * time.Millisecond  // after a failure; the next call must come within 200 ms
 	rest    = 200 * time.Millisecond // for the rest of an answer that has begun: it stands ready at the agent
+	hasty   = 4                      // part of the grace for drains: between calls to an agent that is silent
 	longest = 1 << 20                // bytes of a list
 )
 
@@ -46,6 +47,7 @@
 	spoke int // number of the newest watch that was told something
 
 	wait, answer, rest, pause time.Duration
+	hasten                    time.Duration // a call that is not answered by then gets another beside it; 0: none does
 }
 
 // New makes a follower of the list at address; known is the list that is held, if any.
@@ -60,6 +62,12 @@
 	if f.asks && known != nil {
 		f.known = known.Stamp
 	}
+	if !f.asks {
+		f.hasten = min(clock.Span(n.DrainGrace)/hasty, f.answer)
+		if f.hasten > 0 {
+			f.pause = min(f.pause, f.hasten)
+		}
+	}
 	return f
 }
 
@@ -154,11 +162,7 @@
 		f.turn(ctx)
 	}
 	for ctx.Err() == nil {
-		url := f.base
-		if f.at >= 0 {
-			url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", f.base, f.at, f.wait.Milliseconds())
-		}
-		list, err := f.get(ctx, url)
+		list, err := f.next(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -194,6 +198,47 @@
 	}
 }
 
+// next is what the next call brings: changes of the list that is held, else the whole list.
+func (f *watch) next(ctx context.Context) (marshal.List, error) {
+	if f.at >= 0 {
+		return f.get(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", f.base, f.at, f.wait.Milliseconds()))
+	}
+	if f.hasten == 0 {
+		return f.get(ctx, f.base)
+	}
+	return f.whole(ctx)
+}
+
+// whole asks for the whole list, and again beside the calls that are not answered, until one is or the first fails.
+// Danger: an agent that is down for a while answers none of the calls that it took meanwhile, and what it holds from
+// its first moment back counts as told. Asked once a second, hundreds of marshals sent new hits to nodes that had begun
+// to drain during the outage, up to a second past the grace. The others stay open, for it may also be slow.
+func (f *watch) whole(ctx context.Context) (marshal.List, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		list marshal.List
+		err  error
+	}
+	answers := make(chan answer, f.answer/f.hasten+2) // room for all, so that none waits for a reader
+	again := time.NewTicker(f.hasten)
+	defer again.Stop()
+	for calls := 0; ; {
+		if calls < cap(answers) {
+			calls++
+			go func() {
+				list, err := f.get(ctx, f.base)
+				answers <- answer{list, err}
+			}()
+		}
+		select {
+		case a := <-answers:
+			return a.list, a.err
+		case <-again.C:
+		}
+	}
+}
+
 // turn waits until the module has the next call go out.
 func (f *watch) turn(ctx context.Context) {
 	select {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -259,3 +260,55 @@
 	cancel()
 	<-ended
 }
+
+// An agent that was down answers none of the calls it took meanwhile: the list is asked for again well within the grace for
+// drains, so that it is heard as soon as the agent is back; and one that is slower than that is heard all the same.
+func TestAgentBack(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lost int           // calls that are never answered
+		slow time.Duration // the others
+	}{"back after an outage": {40, 0}, "slower than calls follow": {0, 30 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			back := make(chan time.Time, 1)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n := int(calls.Add(1))
+				if n <= tc.lost || r.URL.RawQuery != "" {
+					<-r.Context().Done()
+					return
+				}
+				select {
+				case back <- time.Now():
+				default:
+				}
+				time.Sleep(tc.slow)
+				io.WriteString(w, list(41, true, "Ready"))
+			}))
+			defer s.Close()
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			told := make(chan marshal.List, 10)
+			f := New(strings.TrimPrefix(s.URL, "http://"), nil, settings.Network{DrainGrace: 40}, func(l marshal.List) { told <- l }, log)
+			if f.hasten != 10*time.Millisecond || f.pause > f.hasten {
+				t.Errorf("another call after %v, after a failure after %v", f.hasten, f.pause)
+			}
+			f.answer = 100 * time.Millisecond // ten calls at most are open; forty are lost in some four such times
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() { f.Run(ctx); close(ended) }()
+			select {
+			case l := <-told:
+				if l.Stamp != 41 || int(calls.Load()) < tc.lost+1 {
+					t.Errorf("list %d after %d calls", l.Stamp, calls.Load())
+				}
+			case <-time.After(10 * time.Second):
+				t.Error("the list was not told")
+			}
+			cancel()
+			<-ended
+			if len(back) != 1 {
+				t.Error("no call reached the agent once it was back")
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,6 +96,7 @@
 	LongestTimeout logic.Millis // of a client
 	AskList        bool         // the list is asked of a service that may refuse
 	AskWithin      logic.Millis // by then a marshal must have asked
+	DrainGrace     logic.Millis // from when a drain is told until nothing new may go to its node; 0: not told
 }
 
 // Pairs takes path=value texts apart.
@@ -158,6 +159,7 @@
 		AnswerSlack:    p.need("rules.answer-slack-ms", 0, most),
 		AskList:        p.text("discovery") == "ask",
 		AskWithin:      p.may("rules.ask-within-ms"),
+		DrainGrace:     p.may("rules.drain-grace-ms"),
 	}
 	for i := 0; i < int(p.need("services.count", 1, 1e4)); i++ {
 		n.LongestTimeout = max(n.LongestTimeout, p.need(fmt.Sprintf("services.%d.give-up-ms", i), 1, most))
