--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -24,7 +24,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	cmd := &cli.Command{Name: "otterlab", Usage: "experiments on fleets of marshals on loopback", HideHelpCommand: true,
-		Commands: []*cli.Command{membersCommand(), policyCommand(), takeoverCommand(), fleetCommand()}}
+		Commands: []*cli.Command{membersCommand(), policyCommand(), takeoverCommand(), fleetCommand(), daysCommand()}}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "otterlab:", err)
 		os.Exit(1)
--- a/cmd/ottershed/main.go
+++ b/cmd/ottershed/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -50,8 +51,15 @@
 	wrong := func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 		return fmt.Errorf("%w: %w; see --help", errUsage, err)
 	}
+	summary := &cli.DurationFlag{Name: "summary", Usage: "write a line of figures every so often, for otterlab days; 0: none",
+		Sources: cli.EnvVars("OTTERSHED_SUMMARY"), Validator: func(every time.Duration) error {
+			if every != 0 && every < leastSummary {
+				return fmt.Errorf("want 0 or %v or more, got %v", leastSummary, every)
+			}
+			return nil
+		}}
 	commands := []*cli.Command{
-		{Name: "serve", Usage: "run a marshal until SIGTERM", Flags: []cli.Flag{file, operator, level}, Action: serve},
+		{Name: "serve", Usage: "run a marshal until SIGTERM", Flags: []cli.Flag{file, operator, level, summary}, Action: serve},
 		{Name: "check-config", Usage: "read and check a configuration as serve does, and print what holds",
 			Flags: []cli.Flag{file, operator}, Action: checkConfig},
 		{Name: "members", Usage: "print whom a running marshal holds for alive, suspect, dead or left, as JSON",
--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -51,13 +51,13 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	reread := func() (*config.Config, error) { return config.Reread(cmd.String("config"), os.Getenv) }
-	return run(ctx, cfg, log, stop, hup, reread)
+	return run(ctx, cfg, log, stop, hup, reread, cmd.Duration("summary"))
 }
 
 // run is a marshal from its start until stop says that it leaves; what hup says has it reread its configuration. The
 // parts end in the order front, then all others.
 func run(ctx context.Context, cfg *config.Config, log logrus.FieldLogger, stop, hup <-chan os.Signal,
-	reread func() (*config.Config, error)) error {
+	reread func() (*config.Config, error), every time.Duration) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -112,7 +112,8 @@
 			log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform}).Info("configuration taken")
 		}
 	}
-	for _, part := range []func(context.Context){group.run, m.Run, pool.Run, release.Run, follower.Run, reload} {
+	for _, part := range []func(context.Context){group.run, m.Run, pool.Run, release.Run, follower.Run, reload,
+		summary{m, pool, follower, log, every}.run} {
 		running.Go(func() { part(ctx) })
 	}
 
@@ -140,6 +141,7 @@
 		return fmt.Errorf("leave: %w", err)
 	}
 	<-left
+	summary{m, pool, follower, log, every}.last()
 	log.Info("left")
 	return nil
 }
--- a/cmd/ottershed/serve_test.go
+++ b/cmd/ottershed/serve_test.go
@@ -178,7 +178,7 @@
 	cfg := w.config(t)
 	var out bytes.Buffer
 	stop, left := make(chan os.Signal, 1), make(chan error)
-	go func() { left <- run(context.Background(), cfg, logging.New(&out, logrus.InfoLevel), stop, nil, nil) }()
+	go func() { left <- run(context.Background(), cfg, logging.New(&out, logrus.InfoLevel), stop, nil, nil, 0) }()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableKeepAlives: false}}
 	url := "http://" + cfg.Listen
 	for {
@@ -285,7 +285,7 @@
 			next, err := config.Reread(path, func(string) string { return "" })
 			taken <- err
 			return next, err
-		})
+		}, 0)
 	}()
 	until := func(what string, ok func() bool) {
 		t.Helper()
@@ -329,7 +329,7 @@
 	defer w.close()
 	cfg := w.config(t)
 	cfg.Listen = w.desk.Addr().String() // taken
-	if err := run(context.Background(), cfg, logging.New(io.Discard, logrus.InfoLevel), nil, nil, nil); err == nil {
+	if err := run(context.Background(), cfg, logging.New(io.Discard, logrus.InfoLevel), nil, nil, nil, 0); err == nil {
 		t.Error("served on a taken address")
 	}
 }
@@ -359,7 +359,7 @@
 			next, err := config.Reread(path, func(string) string { return "" })
 			taken <- err
 			return next, err
-		})
+		}, 0)
 	}()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	defer client.CloseIdleConnections()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,6 +43,7 @@
 	lookup  chan struct{}
 	again   chan struct{} // a refused call may go out again
 	moved   chan string
+	calls   atomic.Int64 // that went out
 
 	mu    sync.Mutex
 	spoke int // number of the newest watch that was told something
@@ -71,6 +73,9 @@
 	return f
 }
 
+// Calls is how many calls for the list went out since the start.
+func (f *Follower) Calls() int64 { return f.calls.Load() }
+
 // Lookup asks for the whole list again.
 func (f *Follower) Lookup() {
 	select {
@@ -287,6 +292,7 @@
 	if err != nil {
 		return marshal.List{}, err
 	}
+	f.calls.Add(1)
 	res, err := f.client.Do(req)
 	if err != nil {
 		return marshal.List{}, err
--- a/internal/lab/chart.go
+++ b/internal/lab/chart.go
@@ -47,3 +47,26 @@
 	}
 	return nil
 }
+
+// Course draws each line's figures in their order, one a unit along; to a file, by its ending SVG or PNG.
+func Course(path, title, along, unit string, lines []Line) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, along, unit
+	p.Legend.Top = true
+	p.Y.Min = 0
+	var drawn []any
+	for _, l := range lines {
+		points := make(plotter.XYs, len(l.Figures))
+		for i, v := range l.Figures {
+			points[i] = plotter.XY{X: float64(i), Y: v}
+		}
+		drawn = append(drawn, l.Name, points)
+	}
+	if err := plotutil.AddLines(p, drawn...); err != nil {
+		return fmt.Errorf("chart: %w", err)
+	}
+	if err := p.Save(24*vg.Centimeter, 12*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("chart: %w", err)
+	}
+	return nil
+}
--- a/internal/marshal/core.go
+++ b/internal/marshal/core.go
@@ -31,6 +31,8 @@
 	follow    []logic.Event          // events that actions caused, for after these actions
 	post      func(message)          // to the queue
 	restarted logic.Millis           // when the module last started anew after a panic
+	counts    Figures
+	targets   map[logic.GroupName]logic.Millis // target latencies, for counting alone
 }
 
 // module is the decision module.
@@ -125,6 +127,8 @@
 			}
 		}
 		msg.reply <- found
+	case figuresAsked:
+		msg.reply <- c.figures()
 	case told:
 		if e, ok := msg.event.(logic.StageNews); ok {
 			c.log.WithFields(logrus.Fields{"build": e.Build, "stage": e.Stage, "phase": e.Phase, "cap": e.Cap, "age_ms": e.Age,
@@ -158,6 +162,7 @@
 
 func (c *core) take(now logic.Millis, hit *Hit) {
 	left := hit.Left - (now - hit.Taken)
+	c.counts.Taken++
 	c.last++
 	for c.open[c.last] != nil { // ids come round again
 		c.last++
@@ -174,6 +179,7 @@
 		return
 	}
 	o.answered = true
+	c.counts.Gone++
 	c.give(now, logic.HitGone{Hit: hit.id})
 	c.forget(hit.id, o)
 }
@@ -187,17 +193,21 @@
 	f := &o.forwards[msg.no]
 	f.over, f.recall = true, nil
 	o.out--
+	c.counts.ended(msg.end.Ending)
 	if msg.end.Ending == logic.Delivered && !o.answered {
-		o.answer(Answer{Kind: Delivered, Reply: msg.end.Reply})
+		c.answer(now, o, Answer{Kind: Delivered, Reply: msg.end.Reply})
 	}
 	c.give(now, logic.ForwardEnded{Hit: msg.id, Ending: msg.end.Ending, Node: f.node, Forward: msg.no,
 		After: max(0, msg.end.At-f.at), HitEnded: o.answered, Load: msg.end.Load})
 	c.forget(msg.id, o)
 }
 
-func (o *open) answer(a Answer) {
+// answer gives a hit its final answer, once.
+func (c *core) answer(now logic.Millis, o *open, a Answer) {
 	if !o.answered {
 		o.answered = true
+		target, known := c.targets[o.hit.Group]
+		c.counts.answered(a, known && now > o.hit.Taken+target)
 		o.hit.Answer(a)
 	}
 }
@@ -274,7 +284,7 @@
 // restart ends all open hits as errored and starts the module anew.
 func (c *core) restart(now logic.Millis) {
 	for id, o := range c.open {
-		o.answer(Answer{Kind: Errored})
+		c.answer(now, o, Answer{Kind: Errored})
 		for _, f := range o.forwards {
 			if !f.over {
 				f.recall()
@@ -311,9 +321,9 @@
 		case logic.Forward:
 			c.forward(now, a)
 		case logic.Bounce:
-			c.final(a.Hit, Answer{Kind: Bounced, ComeBack: a.ComeBack})
+			c.final(now, a.Hit, Answer{Kind: Bounced, ComeBack: a.ComeBack})
 		case logic.Fail:
-			c.final(a.Hit, Answer{Kind: Errored})
+			c.final(now, a.Hit, Answer{Kind: Errored})
 		case logic.Cancel:
 			if o := c.open[a.Hit]; o != nil && a.Forward < len(o.forwards) && !o.forwards[a.Forward].over {
 				o.forwards[a.Forward].recall()
@@ -323,6 +333,7 @@
 		case logic.CloseIdle:
 			c.nodes.CloseIdle(a.Node)
 		case logic.Vote:
+			c.counts.Votes++
 			c.log.WithFields(logrus.Fields{"build": a.Build, "stage": a.Stage, "verdict": a.Verdict}).Debug("vote")
 			c.desk.Vote(a)
 		case logic.Lookup:
@@ -332,15 +343,16 @@
 		case logic.Watch:
 			c.discovery.Watch()
 		case logic.Probe: // this protocol has none
+			c.counts.Probes++
 			c.follow = append(c.follow, logic.ProbeEnded{Node: a.Node, Ending: logic.NeverSent})
 		case logic.Tell: // nor messages between marshals
 		}
 	}
 }
 
-func (c *core) final(id logic.HitID, a Answer) {
+func (c *core) final(now logic.Millis, id logic.HitID, a Answer) {
 	if o := c.open[id]; o != nil {
-		o.answer(a)
+		c.answer(now, o, a)
 		c.forget(id, o)
 	}
 }
@@ -350,6 +362,7 @@
 	if o == nil {
 		return
 	}
+	c.counts.Forwarded++
 	no := len(o.forwards)
 	o.forwards = append(o.forwards, forward{node: a.Node, at: now})
 	o.out++
--- a/internal/marshal/marshal.go
+++ b/internal/marshal/marshal.go
@@ -38,6 +38,10 @@
 		m.late.bound = min(m.late.bound, g.Target*latePart)
 	}
 	m.core = newCore(func(seed uint64) module { return logic.New(s, seed) }, seed, m.post, log)
+	m.core.targets = map[logic.GroupName]logic.Millis{}
+	for _, g := range s.Groups {
+		m.core.targets[g.Name] = g.Target
+	}
 	return m
 }
 
@@ -85,7 +89,7 @@
 	p := posted{msg, m.clock.Now()}
 	m.mu.Lock()
 	switch msg.(type) {
-	case listTold, told, evidenceAsked:
+	case listTold, told, evidenceAsked, figuresAsked:
 		m.news = append(m.news, p)
 	default:
 		m.hits = append(m.hits, p)
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -34,6 +34,25 @@
 	held  int                    // connections that stand or come up
 	short bool                   // for want of descriptors, as last logged
 	over  bool                   // Run has ended
+	done  Count
+}
+
+// Count is what a pool has done since its start, and what it holds.
+type Count struct {
+	Opened, Refused int64 // connections that came up; that did not
+	Held, Idle      int
+}
+
+// Count is that of now.
+func (p *Pool) Count() Count {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.done
+	c.Held = p.held
+	for _, n := range p.nodes {
+		c.Idle += len(n.idle)
+	}
+	return c
 }
 
 // restPart is of the time in which a connection must come up: an answer that has begun crosses the same network.
@@ -287,6 +306,13 @@
 	}
 	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", f.Address)
+	p.mu.Lock()
+	if err == nil {
+		p.done.Opened++
+	} else if ctx.Err() == nil {
+		p.done.Refused++
+	}
+	p.mu.Unlock()
 	switch {
 	case err == nil && p.listed(f.Node, f.Address):
 		return newConn(raw, f.Address), 0
