The log has a clock of its own: leases, late proposals and takeover trust no wall clock

One entry by a leader an hour ahead let a sound owner's piece go 100 ms into its lease of 5 s, and held a dead one's for an hour; Due and a proposal's 'until' compared two machines' wall clocks besides.

Change: each entry carries its leader's process and how long that has run by its monotonic clock (quorum.Clock); time in the log moves only between two entries of one leader. Due goes by the log's time that a list brings; an owner goes by four fifths of its lease, for clocks that run a tenth fast or slow.

--- a/cmd/ottershed/work.go
+++ b/cmd/ottershed/work.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -35,14 +34,16 @@
 	var lines []keeper.Line
 	return show(ctx, cmd, "/work", []byte("{}"), &lines, func(w io.Writer) {
 		fmt.Fprintln(w, "WORK\tOWNER\tSTATE\tTOKEN\tLEASE\tCHECKPOINT\tMERGED")
-		now := float64(time.Now().UnixMicro()) / 1000
 		for _, l := range lines {
 			lease, written, merged := "lapsed", "none", ""
-			if !l.Lapsed {
-				lease = fmt.Sprintf("%.1f s", (l.Until-now)/1000)
+			switch {
+			case l.Ended != "":
+				lease = "ended: " + l.Ended
+			case !l.Lapsed:
+				lease = fmt.Sprintf("%.1f s", l.Left/1000)
 			}
 			if l.Written > 0 {
-				written = fmt.Sprintf("%.1f s ago", (now-l.Written)/1000)
+				written = fmt.Sprintf("%.1f s ago", l.Ago/1000)
 			}
 			for _, p := range l.Merged {
 				merged += fmt.Sprintf("%s:%d ", p.Work, p.Token)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -8,11 +8,13 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"ottershed/internal/admin"
+	"ottershed/internal/clock"
 	"ottershed/internal/faultnet"
 	"ottershed/internal/keeper"
 	"ottershed/internal/membership"
@@ -26,6 +28,7 @@
 	Dir      string   // for files and logs; it has to be there
 	Program  string   // path of ottershed
 	Env      []string // for the program
+	Clocks   []string // of the marshals in turn, as clock.LabEnv has it, such as "-1h 1.1"; none: they tell the truth
 	Marshals int
 	Seed     uint64 // of the faults
 	Town     *Town
@@ -160,7 +163,11 @@
 			return fmt.Errorf("lab: %w", err)
 		}
 	}
-	f.process[name] = &faultnet.Process{Name: name, Path: f.set.Program, Env: f.set.Env, Log: f.File(i, "log"),
+	env := slices.Clone(f.set.Env)
+	if n := len(f.set.Clocks); n > 0 {
+		env = append(env, clock.LabEnv+"="+f.set.Clocks[i%n])
+	}
+	f.process[name] = &faultnet.Process{Name: name, Path: f.set.Program, Env: env, Log: f.File(i, "log"),
 		Args: []string{"serve", "--config", f.File(i, "json"), "--operator", f.File(i, "toml")}}
 	return nil
 }
--- a/internal/policynode/node.go
+++ b/internal/policynode/node.go
@@ -22,6 +22,7 @@
 	"ottershed/internal/clock"
 	"ottershed/internal/consensus"
 	"ottershed/internal/policystore"
+	"ottershed/internal/quorum"
 )
 
 // Hooks are what the marshal does; both return at once.
@@ -64,6 +65,7 @@
 	store *consensus.Store
 	raft  *consensus.Node // nil: a watcher
 	calls *http.Client
+	away  *consensus.Client // the log, from a marshal that does not keep it, and for what is read
 
 	mu       sync.Mutex
 	state    policystore.State
@@ -83,6 +85,11 @@
 	}
 	n := &Node{cfg: cfg, hooks: hooks, clock: c, log: log, store: store, calls: consensus.Caller(cfg.Key),
 		changed: make(chan struct{}), watchers: map[string]Marshal{}}
+	servers := slices.Clone(cfg.Servers)
+	if i := slices.IndexFunc(servers, func(s consensus.Server) bool { return s.Name == cfg.Name }); i > 0 {
+		servers[0], servers[i] = servers[i], servers[0]
+	}
+	n.away = &consensus.Client{Servers: servers, Calls: n.calls, Elect: cfg.Elect, Clock: c}
 	if raw, err := store.Kept(keptKey); err != nil {
 		log.WithError(err).Error("policy: what was run last can't be read")
 	} else if raw != nil {
@@ -99,7 +106,7 @@
 	if !cfg.IsServer() {
 		return n, nil
 	}
-	if n.raft, err = consensus.Open(cfg, store, log); err != nil {
+	if n.raft, err = consensus.Open(cfg, store, c, log); err != nil {
 		store.Close()
 		return nil, err
 	}
@@ -213,7 +220,7 @@
 // part is the policy's part of the log.
 type part struct{ *Node }
 
-func (p part) Apply(_ uint64, _ time.Time, command []byte) []byte {
+func (p part) Apply(_ uint64, _ quorum.Millis, command []byte) []byte {
 	var proposal policystore.Proposal
 	out := policystore.Outcome{Refused: "not a proposal"}
 	p.mu.Lock()
@@ -511,20 +518,12 @@
 	if n.raft != nil {
 		return n.raft.Propose(ctx, kind, command)
 	}
-	return n.client().Propose(ctx, kind, command)
+	return n.away.Propose(ctx, kind, command)
 }
 
 // Get asks a server, this one first where it is one, for what it holds.
 func (n *Node) Get(ctx context.Context, path string, to any) error {
-	return n.client().Get(ctx, path, to)
-}
-
-func (n *Node) client() *consensus.Client {
-	servers := slices.Clone(n.cfg.Servers)
-	if i := slices.IndexFunc(servers, func(s consensus.Server) bool { return s.Name == n.cfg.Name }); i > 0 {
-		servers[0], servers[i] = servers[i], servers[0]
-	}
-	return &consensus.Client{Servers: servers, Calls: n.calls, Elect: n.cfg.Elect}
+	return n.away.Get(ctx, path, to)
 }
 
 // checkAll asks the other servers whether they could run a policy. One that can't be reached has no say: if it can't
--- a/internal/takeover/book.go
+++ b/internal/takeover/book.go
@@ -36,10 +36,11 @@
 	Work       Work
 	Owner      Holder
 	Token      Token
-	Until      Millis // Unix, by the log's clock; past it another may take the piece
+	Until      Millis // by the log's clock; past it another may take the piece
 	Checkpoint []byte // the owner's, to go on from
 	Written    Millis // when that was
 	Merged     []Past // pieces whose work is in the checkpoint, the newest last
+	Seq        uint64 // of its checkpoint, by its owner
 }
 
 // Past is a piece that was merged into another, by the token under which it was taken.
@@ -48,6 +49,15 @@
 	Token Token
 }
 
+// Ended is a piece that was ended, for it could not be gone on with.
+type Ended struct {
+	Work  Work
+	Token Token // under which it was taken
+	By    string
+	Why   string
+	At    Millis // by the log's clock
+}
+
 // Verb is what a command wants.
 type Verb int
 
@@ -57,6 +67,7 @@
 	Take                    // another's piece, once its lease has lapsed
 	Merge                   // end a piece that was taken: what it held is in the checkpoint of one's own from now on
 	Release                 // it may be taken at once
+	End                     // a piece that was taken and can't be gone on with: it is no piece any more
 )
 
 // Command is one entry of the log.
@@ -69,6 +80,8 @@
 	Checkpoint []byte // none: the one before stays
 	Into       Work   // Merge: one's own
 	IntoToken  Token
+	Seq        uint64 // of a checkpoint: each that a holder writes has a higher one than any before
+	Why        string // End
 }
 
 // Reply is what became of a command.
@@ -86,11 +99,21 @@
 	longestLease   = 3.6e6
 	longestHolders = 64
 	mostMerged     = 64 // of a lease: for votes, and for a Merge that comes twice
+	mostEnded      = 64
+	longestWhy     = 200
 )
 
-// Book holds all leases. Its clock is that of the log's entries and never goes back.
+// List is all leases, and the log's time as of its newest entry: what is left of a lease is no more than it says.
+type List struct {
+	Now    Millis
+	Leases []Lease // without their checkpoints
+	Ended  []Ended // the newest last
+}
+
+// Book holds all leases. Its clock is the log's, which no machine's wall clock enters (quorum.Clock), and never goes back.
 type Book struct {
 	leases map[Work]*Lease
+	ended  []Ended
 	token  Token
 	now    Millis
 }
@@ -98,6 +121,9 @@
 // NewBook makes an empty one.
 func NewBook() *Book { return &Book{leases: map[Work]*Lease{}} }
 
+// List is all that the book holds, without checkpoints.
+func (b *Book) List() List { return List{b.now, b.Leases(), slices.Clone(b.ended)} }
+
 // Leases are all, by name, without their checkpoints.
 func (b *Book) Leases() []Lease {
 	var out []Lease
@@ -109,9 +135,11 @@
 	return out
 }
 
-// Apply takes the next command of the log; at is when its leader wrote it.
+// Now is the log's time at the newest command.
+func (b *Book) Now() Millis { return b.now }
+
+// Apply takes the next command of the log at the log's time.
 func (b *Book) Apply(c *Command, at Millis) Reply {
-	// Danger: a new leader's clock may be behind that of the one before; a lease that had lapsed would hold again.
 	b.now = max(b.now, at)
 	if fault := c.check(); fault != "" {
 		return Reply{Refused: fault}
@@ -123,7 +151,7 @@
 	case Take:
 		return b.take(l, c)
 	}
-	if c.Verb == Merge && b.merged(c) {
+	if c.Verb == Merge && b.merged(c) || c.Verb == End && b.wasEnded(c) {
 		return Reply{} // its answer got lost
 	}
 	if l == nil || l.Token != c.Token || l.Owner != c.By {
@@ -132,11 +160,17 @@
 	switch c.Verb {
 	case Keep:
 		l.Until = b.now + c.Span
-		if c.Checkpoint != nil {
-			l.Checkpoint, l.Written = c.Checkpoint, b.now
+		// Danger: a checkpoint whose answer was lost may come after the one that holds another's work as well, and would be
+		// written over it.
+		if c.Checkpoint != nil && c.Seq >= l.Seq {
+			l.Checkpoint, l.Written, l.Seq = c.Checkpoint, b.now, c.Seq
 		}
 	case Release:
 		l.Until = b.now
+	case End:
+		b.ended = append(b.ended, Ended{c.Work, c.Token, c.By.Name, c.Why, b.now})
+		b.ended = slices.Clone(b.ended[max(0, len(b.ended)-mostEnded):])
+		delete(b.leases, c.Work)
 	case Merge:
 		into := b.leases[c.Into]
 		if into == nil || into.Token != c.IntoToken || into.Owner != c.By {
@@ -144,7 +178,7 @@
 		}
 		// Danger: ended first and written afterwards, a piece would be lost with its new owner between; the other way
 		// round it would be taken over twice. So both are one entry.
-		into.Checkpoint, into.Written, into.Until = c.Checkpoint, b.now, b.now+c.Span
+		into.Checkpoint, into.Written, into.Until, into.Seq = c.Checkpoint, b.now, b.now+c.Span, max(into.Seq, c.Seq)
 		into.Merged = append(append(into.Merged, l.Merged...), Past{c.Work, c.Token})
 		if over := len(into.Merged) - mostMerged; over > 0 {
 			into.Merged = slices.Clone(into.Merged[over:])
@@ -160,15 +194,22 @@
 	return into != nil && into.Owner == c.By && into.Token == c.IntoToken && slices.Contains(into.Merged, Past{c.Work, c.Token})
 }
 
+// wasEnded tells whether an End was done before.
+func (b *Book) wasEnded(c *Command) bool {
+	return slices.ContainsFunc(b.ended, func(e Ended) bool { return e.Work == c.Work && e.Token == c.Token && e.By == c.By.Name })
+}
+
 func (c *Command) check() string {
 	switch {
-	case c.Verb < Claim || c.Verb > Release:
+	case c.Verb < Claim || c.Verb > End:
 		return fmt.Sprintf("no command %d", c.Verb)
 	case c.Work == "" || len(c.Work) > longestWork || len(c.Into) > longestWork || !strings.Contains(string(c.Work), "/"):
 		return fmt.Sprintf("no piece of work: %q", c.Work)
 	case c.By.Name == "" || len(c.By.Name) > longestHolders:
 		return "nobody asks"
-	case c.Verb != Release && (c.Span < shortest || c.Span > longestLease):
+	case len(c.Why) > longestWhy:
+		return fmt.Sprintf("a reason of %d bytes", len(c.Why))
+	case c.Verb < Release && (c.Span < shortest || c.Span > longestLease):
 		return fmt.Sprintf("a lease of %g ms", c.Span)
 	case len(c.Checkpoint) > LongestCheck:
 		return fmt.Sprintf("a checkpoint of %d bytes", len(c.Checkpoint))
@@ -214,7 +255,7 @@
 		b.leases[c.Work] = l
 	}
 	b.token++
-	l.Owner, l.Token, l.Until = c.By, b.token, b.now+c.Span
+	l.Owner, l.Token, l.Until, l.Seq = c.By, b.token, b.now+c.Span, 0
 	return Reply{Lease: *l}
 }
 
@@ -232,11 +273,12 @@
 	Leases []Lease
 	Token  Token
 	Now    Millis
+	Ended  []Ended
 }
 
 // Encode writes all.
 func (b *Book) Encode() ([]byte, error) {
-	all := book{Token: b.token, Now: b.now}
+	all := book{Token: b.token, Now: b.now, Ended: b.ended}
 	for _, w := range slices.Sorted(maps.Keys(b.leases)) {
 		all.Leases = append(all.Leases, *b.leases[w])
 	}
@@ -253,7 +295,7 @@
 	if err := msgpack.Unmarshal(raw, &all); err != nil {
 		return fmt.Errorf("leases: %w", err)
 	}
-	*b = Book{leases: map[Work]*Lease{}, token: all.Token, now: all.Now}
+	*b = Book{leases: map[Work]*Lease{}, token: all.Token, now: all.Now, ended: all.Ended}
 	for _, l := range all.Leases {
 		if l.Token > b.token {
 			return fmt.Errorf("leases: %s has token %d, above all that were given", l.Work, l.Token)
--- a/internal/takeover/holder.go
+++ b/internal/takeover/holder.go
@@ -16,10 +16,14 @@
 	By    Holder
 	Span  Millis
 	token Token
-	until Millis // by this marshal's clock, counted from before it asked
+	until Millis // by this marshal's own clock, counted from before it asked; see trust
 	lost  bool   // another holds it, or it is gone
 }
 
+// trust is the part of a lease that its holder goes by. Danger: the log's time runs by its leader's clock; where that is a tenth
+// fast and the holder's a tenth slow, a holder that went by all of it would hold while another takes the piece.
+const trust = 0.8
+
 // Holds tells whether the lease stands by this marshal's own clock.
 func (o *Own) Holds(now Millis) bool { return o.token > 0 && !o.lost && now < o.until }
 
@@ -38,10 +42,10 @@
 func (o *Own) Said(c *Command, sent Millis, r *Reply) (disowned bool) {
 	switch {
 	case c.Verb == Claim && r.Refused == "":
-		o.token, o.until, o.lost = r.Lease.Token, sent+o.Span, false
+		o.token, o.until, o.lost = r.Lease.Token, sent+trust*o.Span, false
 	case c.Verb == Keep && r.Refused == "" && c.Token == o.token:
 		// Danger: counted from the reply, a lease would stand here for longer than in the log.
-		o.until = max(o.until, sent+o.Span)
+		o.until = max(o.until, sent+trust*o.Span)
 	case c.Verb == Keep && r.Refused != "" && c.Token == o.token, c.Verb == Merge && r.Refused != "" && c.IntoToken == o.token:
 		// Danger: a marshal that stood still past its lease goes on where it stopped; another has gone on from its last
 		// checkpoint, and what both have seen would be judged twice.
@@ -71,8 +75,9 @@
 const turn = 0.5
 
 // Due are the pieces that this marshal should try to take now: of owners that membership holds for dead or gone, with
-// leases that have lapsed.
-func Due(self string, view *membership.View, leases []Lease, span, now Millis) []Work {
+// leases that have lapsed by the log's time, which the list brings along: nobody's own clock has a say in it.
+func Due(self string, view *membership.View, list List, span Millis) []Work {
+	now := list.Now
 	var present []string
 	state := map[string]membership.Member{}
 	for _, m := range view.Members {
@@ -82,7 +87,7 @@
 		}
 	}
 	var out []Work
-	for _, l := range leases {
+	for _, l := range list.Leases {
 		owner, known := state[l.Owner.Name]
 		if l.Owner.Name == self {
 			// Danger: taken, and the answer lost before it was merged, a piece would be left to its taker, which does not know.
