One failure each can prove a bad build; what slowed nodes before it ran, or in trouble, does not

Ruled out: votes refused or late (fates), the call limit, the release's own clock (4.5 s a stage where votes come).

Change: where 20 votes and more send a build back, one failure counts at half weight; a build offered while all nodes were slower already is not held for that; in the last stage, where a vote opens nothing more, times do not lean while nodes are in trouble.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -240,10 +240,7 @@
 		(cap <= 0 || *m.left(h) < 1 || stage < s.Guarded && h.Effect != Repeatable) {
 		return false
 	}
-	if s.KeysStay && n.Build < m.pinBuild && h.key != 0 && m.pins[uint16(h.key>>16)] {
-		return false
-	}
-	return true
+	return !s.KeysStay || n.Build >= m.pinBuild || h.key == 0 || !m.pins[uint16(h.key>>16)]
 }
 
 // forward sends a hit to the node chosen for it, if there is one.
@@ -318,7 +315,6 @@
 	if e.Ending <= NodeFull || e.Ending == Spoilt { // Danger: struck for that, all nodes would be left in turn
 		m.answered(n)
 	}
-
 	// Danger: where a node refuses at once it has no connection left; idle ones of hundreds shut others out.
 	m.refused -= freshness * m.refused
 	if e.Ending == Unreachable && e.After < m.least*patience {
@@ -481,9 +477,6 @@
 	return best, false
 }
 
-// looked tells whether a probe has just come back from a node, and no hit was sent there since.
-func (m *Marshal) looked(n *node) bool { return n.lookAt > 0 && m.now-n.lookAt < m.least }
-
 // fit tells whether a node's health lets it take this hit.
 func (m *Marshal) fit(h *hit, n *node) bool {
 	hush := m.hush(n)
@@ -550,7 +543,7 @@
 		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/units/m.period - m.rate)
 	}
 	m.delivered = 0
-	m.intake -= m.intake * m.period / m.set.WarmAfter
+	m.delivered, m.intake = 0, m.intake*(1-m.period/m.set.WarmAfter)
 	m.least *= 1 + m.period/m.set.WarmAfter/groupSize // creeps up, as the paces of nodes may
 	// Danger: by answers alone a thin marshal would win back what it gave up in a moment only over many seconds.
 	m.peak = max(float64(m.out-m.stuck), m.peak*(1-m.period/m.set.OverFor))
@@ -634,9 +627,8 @@
 		return
 	}
 	n.count(g, m.pool, tally)
-	// Danger: a cold node is slow whatever it runs, and one trial node of a slow kind is no slow build. So only
-	// nodes within a gap of their power count, each against the earlier build's pace in its path group and on
-	// its kind of machine.
+	// Danger: a cold node is slow whatever it runs, and one trial node of a slow kind is no slow build. So nodes
+	// within a gap of their power count, each against blue's pace in its path group and on its kind of machine.
 	if m.warmth(n) < 1/slowGap || n.Build > m.news.Build {
 		return
 	}
@@ -684,12 +676,20 @@
 
 // enterBefore has an outcome of either build judged against the time before the trial, by a wider gap.
 func (m *Marshal) enterBefore(b *group, v, pace float64) {
-	if b == nil || pace == 0 || math.IsInf(v, 1) || len(m.parts[1][0])+len(m.parts[1][1]) == 0 ||
-		!b.grn.Add(v/pace, groupSize) {
+	if b == nil || pace == 0 || math.IsInf(v, 1) || len(b.blue.Last) == 0 {
+		return
+	}
+	// Danger: what slowed all nodes before one of them ran the build goes on for a while, and is not its doing.
+	none := len(m.parts[1][0])+len(m.parts[1][1]) == 0
+	if none {
+		b.early = append(b.early[:min(len(b.early), groupSize)], v/pace)
+		b.doubted = len(b.early) >= groupSize/4 && stats.Median(b.early) > slowGap*stats.Median(b.blue.Last)
+	}
+	if none || b.doubted || !b.grn.Add(v/pace, groupSize) {
 		return
 	}
-	// Danger: a very slow build fills groups late. So each counts for the gaps that it is slower by, bounded.
-	// Nor while more is asked than then: the clients of marshals that died slow all nodes, whatever they run.
+	// Danger: a very slow build fills groups late. So each counts for the gaps that it is slower by, bounded;
+	// none does while more is asked than then: clients of marshals that died slow all nodes, whatever they run.
 	if m.now-m.troubleAt < m.set.WarmAfter || m.intake > slowGap*m.intakeBefore ||
 		!b.slower(b.grn.Last, slowGap) {
 		b.rejects = 0
@@ -733,6 +733,7 @@
 // nor a single one where one of blue fails half as often: trouble of their own. The desk can not do that.
 // Doubt is a failure or more, at twice blue's share: no proof, but most of many see none in a good build.
 func (m *Marshal) failing() (worst, seen float64, doubt bool) {
+	least := 2 - math.Floor(min(1, float64(m.set.BackVotes)/groupSize)) // failures
 	for _, g := range append(m.order, m.pool) {
 		// Danger: without those that left, nothing is worse once blue is gone.
 		blue, grn, all := g.gone, stats.Count{}, stats.Count{}
@@ -758,8 +759,9 @@
 			}
 		}
 		doubt = all.Bad >= 1 && all.Bad*blue.N() > 2*(blue.Bad+1)*all.N()
-		if grn.Bad >= 2 && grn.Bad*blue.N() > blue.Bad*grn.N() {
-			worst = max(worst, stats.KruskalWallisCounts(blue, grn)/m.certain)
+		// Danger: waiting for a second failure each, hundreds of thin marshals let a failing build on.
+		if grn.Bad >= least && grn.Bad*blue.N() > blue.Bad*grn.N() {
+			worst = max(worst, stats.KruskalWallisCounts(blue, grn)/m.certain*min(1, grn.Bad/2))
 		}
 		if c := g.counted; c[1].Bad >= 2 && c[1].Bad > c[0].Bad {
 			worst = max(worst, stats.KruskalWallisCounts(c[0].AtMost(nodes), c[1].AtMost(nodes))/(2*rejectAt))
@@ -852,11 +854,12 @@
 	return VoteNone, "not settled"
 }
 
-// leans tells whether the few times that were seen speak against the build on trial: by a gap and a half, for
-// they scatter. Danger: a thin marshal can't tell a slow build; of hundreds, most lean the right way.
+// leans tells whether the few times seen speak against the build on trial: by a gap and a half, they scatter.
+// Danger: no thin marshal can tell a slow build; of hundreds, most lean right. But lost nodes crowd the rest.
 func (m *Marshal) leans() bool {
 	was, now := slices.Concat(m.pool.kept, m.pool.blue.Fill), slices.Concat(m.pool.grn.Last, m.pool.grn.Fill)
-	return len(was) > 0 && len(now) > 0 && stats.Median(now) > slowGap*math.Sqrt(slowGap)*stats.Median(was)
+	return (m.news.Stage+1 < len(m.set.Stages) || m.now-m.troubleAt >= m.set.WarmAfter) && // it opens more
+		len(was) > 0 && len(now) > 0 && stats.Median(now) > slowGap*math.Sqrt(slowGap)*stats.Median(was)
 }
 
 // consider casts this marshal's vote when it changes or is about to lapse.
--- a/logic/state.go
+++ b/logic/state.go
@@ -66,6 +66,8 @@
 	pace, deskPace         stats.Mean     // of the earlier build, by own outcomes and by the desk's counts
 	paceBefore, deskBefore float64        // as they were when the build was offered
 	before                 *group         // this one from before the trial, for builds that slow all nodes
+	early                  []float64      // outcomes since a build was offered and none of its nodes ran
+	doubted                bool           // they were slower already
 	kept                   []float64      // of the earlier build, as the stage began
 	blue, grn              stats.Groups   // of the earlier build and of the one on trial
 	gone                   stats.Count    // outcomes of earlier nodes that have left, since the build's offer
@@ -244,3 +246,6 @@
 		g.judge()
 	}
 }
+
+// looked tells whether a probe has just come back from a node, and no hit was sent there since.
+func (m *Marshal) looked(n *node) bool { return n.lookAt > 0 && m.now-n.lookAt < m.least }
--- a/logic/thin_test.go
+++ b/logic/thin_test.go
@@ -27,11 +27,13 @@
 	}{
 		{"nothing seen, first stage", 0, 0, 0, was, nil, hundreds, VoteOn},
 		{"nothing seen, by a handful", 0, 0, 0, was, nil, nil, VoteNone},
-		{"one failure of three", 0, 2, 1, was, nil, hundreds, VoteNone},
+		{"one failure of three", 0, 2, 1, was, nil, hundreds, VoteBack}, // beside thirty of blue without one
+		{"one failure of twelve", 0, 11, 1, was, nil, hundreds, VoteNone},
 		{"one failure of forty", 0, 39, 1, was, nil, hundreds, VoteOn},
 		{"no node within a gap of its power", 1, 3, 0, was, nil, hundreds, VoteNone},
 		{"times alike", 1, 4, 0, was, like, hundreds, VoteOn},
 		{"times that lean", 1, 4, 0, was, slow, hundreds, VoteNone},
+		{"one failure of three, by a handful", 0, 2, 1, was, nil, nil, VoteNone},
 		{"nothing to set them against", 1, 4, 0, nil, slow, hundreds, VoteOn},
 	} {
 		r := start(t, trial(c.stage, 0.5), c.change)
@@ -46,6 +48,25 @@
 	}
 }
 
+// A zone is lost while a good build stands in its last stage: the rest is crowded, so times lean at all marshals, and it was
+// taken off unreleased (zone+mass, seed 5). There trouble of nodes voids what leans; where the vote would open more, it doesn't.
+func TestLeansInTrouble(t *testing.T) {
+	for _, c := range []struct {
+		stage   int
+		trouble bool
+		want    Verdict
+	}{{2, true, VoteOn}, {2, false, VoteNone}, {1, true, VoteNone}} {
+		r := start(t, trial(c.stage, 1), hundreds)
+		r.m.pool.kept, r.m.pool.grn.Fill = slices.Repeat([]float64{1}, 5), slices.Repeat([]float64{3}, 5)
+		if r.m.now += blindAfter; c.trouble {
+			r.m.troubleAt = r.m.now - 1
+		}
+		if got, why := r.m.verdict(); got != c.want {
+			t.Errorf("%+v: %v, %s", c, got, why)
+		}
+	}
+}
+
 // What was seen of the earlier build is kept over a change of stage, for where it is gone none comes any more.
 func TestKeptOverStages(t *testing.T) {
 	r := start(t, trial(0, 0.1), hundreds)
@@ -71,7 +92,7 @@
 		{[8]float64{20}, 20, false}, // one that fails by itself
 		{[8]float64{6, 7, 6, 8, 6, 7, 6, 7}, 20, true},
 	} {
-		r := start(t, trial(0, 0.1), hundreds)
+		r := start(t, trial(0, 0.1), func(s *Settings) { s.Marshals, s.BackVotes = 20, 2 })
 		nodes := []Node{node4("b9", 7)}
 		for i := range c.bad {
 			nodes = append(nodes, node4(NodeID(fmt.Sprint("a", i)), 8))
@@ -95,20 +116,29 @@
 		name          string
 		first, again  int // hits more than before
 		none, rejects bool
+		early         float64 // times before a node ran it; 0: none were seen
 	}{
-		{"as many hits", 0, 0, false, true},
-		{"a burst", 400, 0, false, false},
-		{"clients that come again", 0, 400, false, true},
-		{"no node runs it", 0, 0, true, false},
+		{"as many hits", 0, 0, false, true, 0},
+		{"a burst", 400, 0, false, false, 0},
+		{"clients that come again", 0, 400, false, true, 0},
+		{"no node runs it", 0, 0, true, false, 0},
+		{"slow before a node ran it", 0, 0, false, false, 2},
+		{"slow since nodes run it", 0, 0, false, true, 1.1},
 	} {
 		r := start(t, StageNews{Build: 7, Phase: Released, Cap: 1}, hundreds)
 		r.m.intake = 0.02
 		r.m.pool.blue = stats.Groups{Before: slices.Repeat([]float64{1, 1.1}, 10), Last: slices.Repeat([]float64{1, 1.1}, 10)}
 		r.m.pool.pace.Add(1, memory)
 		r.do(trial(0, 0.1))
-		if c.none {
+		if c.none || c.early > 0 {
 			r.do(NodesChanged{How: Whole, Nodes: []Node{node4("a1", 7), node4("b1", 7)}})
 		}
+		if c.early > 0 {
+			for range groupSize / 4 {
+				r.m.enterBefore(r.m.pool.before, c.early, 1)
+			}
+			r.do(NodesChanged{How: Changes, Nodes: []Node{node4("a2", 8)}})
+		}
 		for i := range c.first + c.again {
 			r.do(HitTaken{Hit: HitID(i + 1), Group: "read", TTL: 1000, Retried: i >= c.first})
 		}
