A handful's blind vote stands as before; doubt holds back those of hundreds only

With hundreds of outcomes each, one chance failure is twice blue's share: doubt took the blind votes back. At fault: verdict's blind vote, failing's doubt.

Change: doubt and leaning count where the proof is that of many (40 votes and more move a build on); a handful's vote stands until a clearly slower group, as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -758,7 +758,7 @@
 				grn.Add(t, 1)
 			}
 		}
-		doubt = all.Bad >= 1 && all.Bad*blue.N() > 2*(blue.Bad+1)*all.N()
+		doubt = m.proof == 0 && all.Bad >= 1 && all.Bad*blue.N() > 2*(blue.Bad+1)*all.N()
 		// Danger: waiting for a second failure each, hundreds of thin marshals let a failing build on.
 		if grn.Bad >= least && grn.Bad*blue.N() > blue.Bad*grn.N() {
 			worst = max(worst, stats.KruskalWallisCounts(blue, grn)/m.certain*min(1, grn.Bad/2))
@@ -843,12 +843,12 @@
 	case trial && m.set.Control == ByClock && hold:
 		return VoteHold, fmt.Sprintf("clearly slower, %d times in a row", m.holdAfter)
 	case !trial || m.set.Control == ByClock || m.set.Halt || 2*failing >= 1 || reject:
-	case full > 0 && (agree || m.vote.Verdict == VoteOn): // only a clearly slower group takes it back
+	case full > 0 && agree, m.vote.Verdict == VoteOn && (full > 0 || m.proof > 0): // only clear slowness ends it
 		return VoteOn, "groups agree"
 	// Danger: cold nodes hide a slow build, so the vote that opens the whole fleet takes outcomes of warm ones.
 	case full == 0 && m.now-m.stageAt >= blindAfter && seen >= m.proof*next && !doubt && !m.leans() &&
-		(next < 1 || float64(len(m.pool.grn.Fill)+len(m.pool.grn.Last)) >= max(1, 2*m.proof)) &&
-		!m.desk.slower(m.desk.grn.Fill, 1):
+		!m.pool.slower(m.pool.grn.Fill, 1) && !m.desk.slower(m.desk.grn.Fill, 1) &&
+		(next < 1 || float64(len(m.pool.grn.Fill)+len(m.pool.grn.Last)) >= max(1, 2*m.proof)):
 		return VoteOn, fmt.Sprintf("%.0f s without full groups", blindAfter/1000)
 	}
 	return VoteNone, "not settled"
@@ -858,7 +858,7 @@
 // Danger: no thin marshal can tell a slow build; of hundreds, most lean right. But lost nodes crowd the rest.
 func (m *Marshal) leans() bool {
 	was, now := slices.Concat(m.pool.kept, m.pool.blue.Fill), slices.Concat(m.pool.grn.Last, m.pool.grn.Fill)
-	return (m.news.Stage+1 < len(m.set.Stages) || m.now-m.troubleAt >= m.set.WarmAfter) && // it opens more
+	return (m.news.Stage+1 < len(m.set.Stages) || m.now-m.troubleAt >= m.set.WarmAfter) && m.proof == 0 &&
 		len(was) > 0 && len(now) > 0 && stats.Median(now) > slowGap*math.Sqrt(slowGap)*stats.Median(was)
 }
 
