--- a/internal/lab/days.go
+++ b/internal/lab/days.go
@@ -154,6 +154,12 @@
 func (d *Day) add(lines []line) (summaries int, err error) {
 	var last map[string]float64
 	var at float64
+	stood := -1 // the second of the newest summary; a marshal stands in a second as its last one there says
+	defer func() {
+		if stood >= 0 {
+			d.stand(stood, last)
+		}
+	}()
 	for _, l := range lines {
 		if l.at < 0 || l.at >= mostSeconds {
 			d.Skipped++
@@ -163,6 +169,10 @@
 		switch msg := l.fields["msg"]; {
 		case msg == "serving":
 			s.Starts++
+			if stood >= 0 {
+				d.stand(stood, last)
+			}
+			stood = -1
 			last, at = map[string]float64{}, l.at
 		case msg != "summary":
 			if l.fields["level"] != "debug" {
@@ -175,8 +185,10 @@
 			}
 			summaries++
 			d.flow(last, now, at, l.at)
-			d.stand(int(l.at), now)
-			last, at = now, l.at
+			if stood >= 0 && stood != int(l.at) {
+				d.stand(stood, last)
+			}
+			last, at, stood = now, l.at, int(l.at)
 		}
 	}
 	return summaries, nil
--- a/internal/lab/days_test.go
+++ b/internal/lab/days_test.go
@@ -45,6 +45,7 @@
 func TestReadDay(t *testing.T) {
 	d, err := ReadDay(played(t, map[string][]string{
 		"a.log": {"0.000 " + serving, "1.000 " + logged("taken=10 cold=2 build=7 verdict=1"),
+			"1.000 " + logged("taken=10 cold=2 build=7 verdict=1"), // twice in a second: it stands there once
 			"3.000 " + logged("taken=30 opened=4 cold=4 build=7 stage=1 verdict=3"),
 			`3.100 time="2026-12-01T00:00:00.000Z" level=info msg="vote 3 on build 7 stage 1: slower, by 1.25 at last"`,
 			"5.500 " + serving, "6.500 " + logged("taken=5 build=7")},
