--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -112,8 +112,9 @@
 			log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform}).Info("configuration taken")
 		}
 	}
+	figures := summary{m, pool, follower, log, every}
 	for _, part := range []func(context.Context){group.run, m.Run, pool.Run, release.Run, follower.Run, reload,
-		summary{m, pool, follower, log, every}.run} {
+		figures.run} {
 		running.Go(func() { part(ctx) })
 	}
 
@@ -141,7 +142,7 @@
 		return fmt.Errorf("leave: %w", err)
 	}
 	<-left
-	summary{m, pool, follower, log, every}.last()
+	figures.last()
 	log.Info("left")
 	return nil
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -70,20 +70,20 @@
 
 // Node is one server's part in the log.
 type Node struct {
-	cfg   Config
-	log   logrus.FieldLogger
-	store *Store
-	parts map[byte]Part
-	mux   *mux
-	http  *http.ServeMux
-	serve *http.Server
-	calls *http.Client
-	fsm   *machine
-	clock *clock.Clock
-	self  uint64 // this process, in the stamps of the entries that it writes as leader
-	heard tickets
-	began atomic.Pointer[raft.Raft] // nil until it has its place
-	held  atomic.Bool               // the store held a log at the start
+	cfg    Config
+	log    logrus.FieldLogger
+	store  *Store
+	parts  map[byte]Part
+	mux    *mux
+	http   *http.ServeMux
+	serve  *http.Server
+	calls  *http.Client
+	fsm    *machine
+	clock  *clock.Clock
+	self   uint64                    // this process, in the stamps of the entries that it writes as leader
+	client *Client                   // to the leader, wherever that is
+	began  atomic.Pointer[raft.Raft] // nil until it has its place
+	held   atomic.Bool               // the store held a log at the start
 }
 
 // Open opens the port; Run finds the server its place. The store stays the caller's.
@@ -94,6 +94,7 @@
 	}
 	n := &Node{cfg: cfg, log: log, store: store, parts: map[byte]Part{}, mux: newMux(l, cfg.Key), http: http.NewServeMux(),
 		calls: Caller(cfg.Key), clock: c, self: rand.Uint64() | 1}
+	n.client = &Client{Servers: cfg.Servers, Calls: n.calls, Elect: cfg.Elect, Clock: c}
 	n.serve = &http.Server{Handler: n.http, ReadHeaderTimeout: greetIn}
 	n.fsm = &machine{parts: n.parts}
 	n.http.HandleFunc("GET /log/state", n.answerState)
@@ -308,7 +309,7 @@
 // Propose puts a command into the log and returns what its part answered. Danger: an answer can get lost with its leader, so it
 // is proposed again until one comes: the part has to know a command that comes twice.
 func (n *Node) Propose(ctx context.Context, kind byte, command []byte) ([]byte, error) {
-	first := n.heard.led()
+	first := n.client.heard.led()
 	if n.Leads() {
 		first = n.cfg.Name
 	} else if r := n.began.Load(); r != nil {
@@ -316,8 +317,7 @@
 			first = string(id)
 		}
 	}
-	p := proposer{n.cfg.Servers, n.calls, n.cfg.Elect, n.clock, &n.heard}
-	return p.propose(ctx, first, append([]byte{kind}, command...))
+	return n.client.propose(ctx, first, append([]byte{kind}, command...))
 }
 
 // Barrier returns when this server's parts hold all that was committed when it was called.
@@ -347,8 +347,7 @@
 
 // Propose does as a Node's.
 func (c *Client) Propose(ctx context.Context, kind byte, command []byte) ([]byte, error) {
-	p := proposer{c.Servers, c.Calls, c.Elect, c.Clock, &c.heard}
-	return p.propose(ctx, c.heard.led(), append([]byte{kind}, command...))
+	return c.propose(ctx, c.heard.led(), append([]byte{kind}, command...))
 }
 
 // Get asks one server after another for what it holds.
--- a/internal/consensus/propose.go
+++ b/internal/consensus/propose.go
@@ -15,7 +15,6 @@
 
 	"github.com/hashicorp/raft"
 
-	"ottershed/internal/clock"
 	"ottershed/internal/quorum"
 )
 
@@ -91,17 +90,8 @@
 	return true
 }
 
-// proposer is who puts commands into the log from a marshal, a server or not.
-type proposer struct {
-	servers []Server
-	calls   *http.Client
-	elect   time.Duration
-	clock   *clock.Clock
-	heard   *tickets
-}
-
-func (p *proposer) address(name string) string {
-	for _, s := range p.servers {
+func (c *Client) address(name string) string {
+	for _, s := range c.Servers {
 		if s.Name == name {
 			return s.Address
 		}
@@ -110,18 +100,18 @@
 }
 
 // propose asks first whoever is thought to lead, then whom the asked one names, else the servers in turn, until one answers.
-func (p *proposer) propose(ctx context.Context, first string, command []byte) ([]byte, error) {
+func (c *Client) propose(ctx context.Context, first string, command []byte) ([]byte, error) {
 	name, failed, hops := first, "", 0
 	for turn := 0; ; {
-		if p.address(name) == "" {
-			name = p.servers[turn%len(p.servers)].Name
+		if c.address(name) == "" {
+			name = c.Servers[turn%len(c.Servers)].Name
 			turn++
 		}
-		tryCtx, cancel := context.WithTimeout(ctx, 3*p.elect)
-		answer, leader, err := p.try(tryCtx, p.address(name), command)
+		tryCtx, cancel := context.WithTimeout(ctx, 3*c.Elect)
+		answer, leader, err := c.try(tryCtx, c.address(name), command)
 		cancel()
 		if err == nil {
-			p.heard.leads(name)
+			c.heard.leads(name)
 			return answer, nil
 		}
 		// Danger: one that is cut off from its leader goes on naming it. So whom it names is asked at once, but not again where
@@ -129,25 +119,25 @@
 		if leader == "" {
 			failed = name
 		}
-		if leader != "" && leader != name && leader != failed && hops < len(p.servers) {
+		if leader != "" && leader != name && leader != failed && hops < len(c.Servers) {
 			name, hops = leader, hops+1
 			continue
 		}
 		name, hops = "", 0
-		if !pause(ctx, p.elect/10) {
+		if !pause(ctx, c.Elect/10) {
 			return nil, fmt.Errorf("%w: %w", ErrNoLeader, err)
 		}
 	}
 }
 
 // try asks one server; leader is whom it names instead.
-func (p *proposer) try(ctx context.Context, address string, command []byte) (answer []byte, leader string, err error) {
+func (c *Client) try(ctx context.Context, address string, command []byte) (answer []byte, leader string, err error) {
 	for again := 0; ; again++ {
-		status, header, body, err := exchange(ctx, p.calls, address, http.MethodPost, "/log/propose"+p.by(ctx, address), command)
+		status, header, body, err := exchange(ctx, c.Calls, address, http.MethodPost, "/log/propose"+c.by(ctx, address), command)
 		if err != nil {
 			return nil, "", err
 		}
-		heard := p.heard.hear(address, header.Get(clockHeader), p.clock.Ran())
+		heard := c.heard.hear(address, header.Get(clockHeader), c.Clock.Ran())
 		switch {
 		case status == http.StatusOK:
 			return body, "", nil
@@ -159,12 +149,12 @@
 }
 
 // by tells the leader, by its own clock, until when the proposer waits; without a deadline it waits for ever.
-func (p *proposer) by(ctx context.Context, address string) string {
+func (c *Client) by(ctx context.Context, address string) string {
 	end, bounded := ctx.Deadline()
 	if !bounded {
 		return ""
 	}
-	now, ticket := p.clock.Ran(), p.heard.of(address)
+	now, ticket := c.Clock.Ran(), c.heard.of(address)
 	until, ok := ticket.Until(now, now+float64(time.Until(end))/float64(time.Millisecond))
 	if !ok {
 		return "?process=0&until=0"
--- a/internal/consensus/propose_test.go
+++ b/internal/consensus/propose_test.go
@@ -117,7 +117,7 @@
 		clear(asked)
 		servers := []Server{{"a", serve(follower("a", tc.named))}, {"b", serve(follower("b", "c"))}, {"c", serve(leads)},
 			{"d", "127.0.0.1:1"}}
-		p := proposer{servers, &http.Client{}, 50 * time.Millisecond, clock.New(), &tickets{}}
+		p := Client{Servers: servers, Calls: &http.Client{}, Elect: 50 * time.Millisecond, Clock: clock.New()}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		answer, err := p.propose(ctx, "", []byte("x"))
 		if err != nil || string(answer) != "done" || fmt.Sprint(asked) != tc.asks || p.heard.led() != "c" {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -416,7 +416,7 @@
 	k.mu.Lock()
 	by := k.own.By
 	k.mu.Unlock()
-	r, err := k.insist(ctx, &takeover.Command{Verb: takeover.End, Work: w, By: by, Token: token, Why: why[:min(len(why), 200)]})
+	r, err := k.insist(ctx, &takeover.Command{Verb: takeover.End, Work: w, By: by, Token: token, Why: why[:min(len(why), takeover.LongestWhy)]})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/days.go
+++ b/internal/lab/days.go
@@ -155,11 +155,12 @@
 	var last map[string]float64
 	var at float64
 	stood := -1 // the second of the newest summary; a marshal stands in a second as its last one there says
-	defer func() {
+	stand := func() {
 		if stood >= 0 {
 			d.stand(stood, last)
 		}
-	}()
+	}
+	defer stand()
 	for _, l := range lines {
 		if l.at < 0 || l.at >= mostSeconds {
 			d.Skipped++
@@ -169,9 +170,7 @@
 		switch msg := l.fields["msg"]; {
 		case msg == "serving":
 			s.Starts++
-			if stood >= 0 {
-				d.stand(stood, last)
-			}
+			stand()
 			stood = -1
 			last, at = map[string]float64{}, l.at
 		case msg != "summary":
@@ -185,8 +184,8 @@
 			}
 			summaries++
 			d.flow(last, now, at, l.at)
-			if stood >= 0 && stood != int(l.at) {
-				d.stand(stood, last)
+			if stood != int(l.at) {
+				stand()
 			}
 			last, at, stood = now, l.at, int(l.at)
 		}
--- a/internal/takeover/book.go
+++ b/internal/takeover/book.go
@@ -100,7 +100,7 @@
 	longestHolders = 64
 	mostMerged     = 64 // of a lease: for votes, and for a Merge that comes twice
 	mostEnded      = 64
-	longestWhy     = 200
+	LongestWhy     = 200 // bytes of a reason
 )
 
 // List is all leases, and the log's time as of its newest entry: what is left of a lease is no more than it says.
@@ -207,7 +207,7 @@
 		return fmt.Sprintf("no piece of work: %q", c.Work)
 	case c.By.Name == "" || len(c.By.Name) > longestHolders:
 		return "nobody asks"
-	case len(c.Why) > longestWhy:
+	case len(c.Why) > LongestWhy:
 		return fmt.Sprintf("a reason of %d bytes", len(c.Why))
 	case c.Verb < Release && (c.Span < shortest || c.Span > longestLease):
 		return fmt.Sprintf("a lease of %g ms", c.Span)
