What comes between a decision for a node and the first byte ends the forward unsent

A client got what no node made for it.

Change: a forward is meant for the node as listed when it was decided (Pool.aimed, on the owner's goroutine); another start, build or address, a drain or a lower cap (core.unsend) ends it as never sent, looked at before the dial and after it. A connection rests for 25 ms, or a quarter of the connect timeout, after an answer before it is used again.

Seen to fail without: TestBetweenDecisionAndSending (6 of 8 cases), TestGivenBackToAnother, TestLowerCap, TestSecondAnswerLate, TestKept "not rested". TestKept "again" now lets the connection rest first, and "not rested" is its counterpart.

--- a/internal/marshal/core.go
+++ b/internal/marshal/core.go
@@ -134,7 +134,10 @@
 			c.log.WithFields(logrus.Fields{"build": e.Build, "stage": e.Stage, "phase": e.Phase, "cap": e.Cap, "age_ms": e.Age,
 				"to_vote": e.ToVote, "fate": e.VoteFate}).Debug("news")
 			if e.VoteFate == logic.VoteOK {
-				c.news, c.newsAt = &e, now
+				lower := c.news != nil && e.Build == c.news.Build && e.Cap < c.news.Cap
+				if c.news, c.newsAt = &e, now; lower {
+					c.unsend(e.Build)
+				}
 			}
 		}
 		if e, ok := msg.event.(logic.SettingsChanged); ok {
@@ -249,6 +252,16 @@
 	c.give(now, event)
 }
 
+// unsend calls back what was decided for a build and is not yet sent. Danger: a lower cap binds after the grace for
+// drains, and where a connection may take longer than that to come up, forwards of the old cap would break the new one.
+func (c *core) unsend(build logic.Build) {
+	for id, e := range c.list {
+		if e.Build == build && e.Address != "" {
+			c.nodes.Unsend(id)
+		}
+	}
+}
+
 func (c *core) removed(id logic.NodeID) {
 	if _, known := c.list[id]; known {
 		delete(c.list, id)
--- a/internal/marshal/core_test.go
+++ b/internal/marshal/core_test.go
@@ -71,6 +71,7 @@
 	return func() { r.note("recall %d", no) }
 }
 func (r *rig) Moved(id logic.NodeID, address string) { r.note("moved %s %s", id, address) }
+func (r *rig) Unsend(id logic.NodeID)                { r.note("unsend %s", id) }
 func (r *rig) CloseIdle(id logic.NodeID)             { r.note("close idle %s", id) }
 func (r *rig) Vote(v logic.Vote)                     { r.note("vote %d %d %d", v.Build, v.Stage, v.Verdict) }
 func (r *rig) Watch()                                { r.note("watch") }
@@ -227,6 +228,32 @@
 	}
 }
 
+// A lower cap on a build calls back what is not yet sent to its nodes; no other news does.
+func TestLowerCap(t *testing.T) {
+	for name, tc := range map[string]struct {
+		news logic.StageNews
+		did  string
+	}{
+		"lower":          {logic.StageNews{Build: 7, Phase: logic.OnTrial, Cap: 0.1}, "unsend b"},
+		"sent back":      {logic.StageNews{Build: 7, Phase: logic.GoingBack}, "unsend b"},
+		"the same":       {logic.StageNews{Build: 7, Phase: logic.OnTrial, Cap: 0.25}, ""},
+		"higher":         {logic.StageNews{Build: 7, Phase: logic.OnTrial, Cap: 0.6}, ""},
+		"another build":  {logic.StageNews{Build: 8, Phase: logic.OnTrial, Cap: 0.1}, ""},
+		"a vote's fault": {logic.StageNews{ToVote: true, VoteFate: logic.VoteTimeout}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig()
+			r.tell(listTold{List{How: logic.Changes, Entries: []Entry{{logic.Node{ID: "b", Build: 7}, "b:1"},
+				{logic.Node{ID: "c", Build: 7, State: logic.Draining}, "c:1"}}}})
+			r.tell(told{logic.StageNews{Build: 7, Phase: logic.OnTrial, Cap: 0.25}})
+			r.did = nil
+			if r.tell(told{tc.news}); strings.Join(r.did, ",") != tc.did {
+				t.Errorf("did %q, want %q", r.did, tc.did)
+			}
+		})
+	}
+}
+
 func TestTimers(t *testing.T) {
 	r := newRig()
 	r.hit(logic.WakeAt{Token: 2, At: 1020}, logic.WakeAt{Token: 1, At: 1010}, logic.WakeAt{Token: 3, At: 1030})
--- a/internal/marshal/messages.go
+++ b/internal/marshal/messages.go
@@ -80,8 +80,10 @@
 type Nodes interface {
 	// Forward starts a forward; what it returns calls it off.
 	Forward(Forward) (recall func())
-	// Moved says that a node is at this address now, at none if it is empty.
+	// Moved says that another machine is this node now and has this address, or none has if it is empty.
 	Moved(id logic.NodeID, address string)
+	// Unsend has forwards to a node end that are not yet sent.
+	Unsend(logic.NodeID)
 	CloseIdle(logic.NodeID)
 }
 
--- a/internal/nodes/conn.go
+++ b/internal/nodes/conn.go
@@ -27,15 +27,14 @@
 // conn is a connection to a node; it carries one request at a time.
 type conn struct {
 	net.Conn
-	left    *io.LimitedReader // what may still come of the present answer
-	r       *bufio.Reader
-	address string
-	since   time.Time // idle
+	left  *io.LimitedReader // what may still come of the present answer
+	r     *bufio.Reader
+	since time.Time // idle
 }
 
-func newConn(raw net.Conn, address string) *conn {
+func newConn(raw net.Conn) *conn {
 	left := &io.LimitedReader{R: raw}
-	return &conn{Conn: raw, left: left, r: bufio.NewReader(left), address: address}
+	return &conn{Conn: raw, left: left, r: bufio.NewReader(left)}
 }
 
 // exchange writes the request and reads the whole answer. written tells if the last byte went out, keep if the
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,8 +26,10 @@
 	log     logrus.FieldLogger
 	connect time.Duration
 	rest    time.Duration // for the rest of an answer that has begun
+	cool    time.Duration // a connection rests for so long after an answer, see lateAnswer
 	longest time.Duration // an idle connection is retired by then, before the node closes it
 	most    int           // connections held
+	dial    func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	idle  time.Duration          // the same as nodes are found to keep it, see reused
@@ -58,17 +61,32 @@
 // restPart is of the time in which a connection must come up: an answer that has begun crosses the same network.
 const restPart = 4
 
+// lateAnswer is how late a second answer to a request may come on its connection ("some milliseconds", by the operators'
+// page on days at full size). Danger: on a connection that is used again at once it would be taken for the answer to the
+// next request. After a rest it lies there to be seen, and the connection is closed unused.
+const lateAnswer = 25 * time.Millisecond
+
+// node is a machine as the list told it. A new start, build or address makes another node, also under the same name and
+// at the same address, and what was meant for the one before must not reach it.
 type node struct {
 	address string
+	unsent  *epoch    // of forwards that begin now
 	idle    []*conn   // the last used one at the end
 	heard   time.Time // the last answer
 }
 
+// epoch is a stretch of time in which forwards to a node may still be sent that began in it; over ends it.
+type epoch struct{ over bool }
+
 // NewPool makes an empty pool that holds so many connections at most.
 func NewPool(c *clock.Clock, n settings.Network, most int, log logrus.FieldLogger) *Pool {
 	longest := clock.Span(n.IdleAfter) / 2
-	return &Pool{clock: c, connect: clock.Span(n.ConnectTimeout), rest: clock.Span(n.ConnectTimeout) / restPart, most: most,
-		longest: longest, idle: longest, log: log, nodes: map[logic.NodeID]*node{}}
+	rest := clock.Span(n.ConnectTimeout) / restPart
+	return &Pool{clock: c, connect: clock.Span(n.ConnectTimeout), rest: rest, cool: min(rest, lateAnswer), most: most,
+		longest: longest, idle: longest, log: log, nodes: map[logic.NodeID]*node{},
+		dial: func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		}}
 }
 
 // Moved says that a node takes hits at this address now, nowhere if it is empty. Danger: a forward whose connection
@@ -77,13 +95,49 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := p.nodes[id]; n != nil {
+		n.unsent.over = true
 		p.closeAll(n.idle)
 	}
 	if delete(p.nodes, id); address != "" {
-		p.nodes[id] = &node{address: address}
+		p.nodes[id] = &node{address: address, unsent: &epoch{}}
 	}
 }
 
+// Unsend has what is not yet sent to a node end as never sent. Danger: a connection may take longer to come up than a
+// lower cap on a build takes to bind, and what was decided under the old one would be sent under the new.
+func (p *Pool) Unsend(id logic.NodeID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := p.nodes[id]; n != nil {
+		n.unsent.over = true
+		n.unsent = &epoch{}
+	}
+}
+
+// aim is what a forward is meant for: the node as listed when it was decided. Danger: looked up later, by name and
+// address alone, it could be another machine there, with another build or just started.
+type aim struct {
+	node   *node
+	unsent *epoch
+}
+
+// aimed names the node that takes hits at this address now; the zero aim, at which nothing may be sent, if none does.
+func (p *Pool) aimed(id logic.NodeID, address string) aim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := p.nodes[id]; n != nil && n.address == address {
+		return aim{n, n.unsent}
+	}
+	return aim{}
+}
+
+// stands tells whether the forward may still be sent.
+func (p *Pool) stands(a aim) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return a.node != nil && !a.unsent.over
+}
+
 // CloseIdle closes the idle connections to a node.
 func (p *Pool) CloseIdle(id logic.NodeID) {
 	p.mu.Lock()
@@ -109,15 +163,23 @@
 	p.closeAll([]*conn{c})
 }
 
-// take gives an idle connection to a node's address, nil if there is none.
-func (p *Pool) take(id logic.NodeID, address string) *conn {
+// take gives an idle connection to the node that a forward is meant for, the last used one that has rested; nil if there
+// is none.
+func (p *Pool) take(a aim) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := p.nodes[id]
-	for n != nil && n.address == address && len(n.idle) > 0 {
-		c := n.idle[len(n.idle)-1]
-		n.idle = n.idle[:len(n.idle)-1]
-		if time.Since(c.since) < p.idle && c.quiet() {
+	if a.node == nil || a.unsent.over {
+		return nil
+	}
+	n := a.node
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		c := n.idle[i]
+		idle := time.Since(c.since)
+		if idle < p.cool && idle < p.idle {
+			continue
+		}
+		n.idle = slices.Delete(n.idle, i, i+1)
+		if idle < p.idle && c.quiet() {
 			return c
 		}
 		p.closeAll([]*conn{c})
@@ -140,12 +202,12 @@
 	}
 }
 
-// give takes a connection back that is good for another forward.
-func (p *Pool) give(id logic.NodeID, c *conn) {
+// give takes a connection back that is good for another forward to the same node.
+func (p *Pool) give(id logic.NodeID, n *node, c *conn) {
 	c.since = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := p.nodes[id]; !p.over && n != nil && n.address == c.address && c.SetDeadline(time.Time{}) == nil {
+	if !p.over && n != nil && p.nodes[id] == n && c.SetDeadline(time.Time{}) == nil {
 		n.idle = append(n.idle, c)
 	} else {
 		p.closeAll([]*conn{c})
@@ -155,12 +217,11 @@
 // ended keeps what an ending says of a node's connections. Danger: those to a machine that has vanished stay open and
 // silent; a hit sent there may have run for all that is known. On a new one, which doesn't come up, it never ran. So a
 // forward that began after the last answer and got none ends the idle ones too.
-func (p *Pool) ended(f marshal.Forward, began time.Time, ending logic.Ending) {
+func (p *Pool) ended(n *node, began time.Time, ending logic.Ending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := p.nodes[f.Node]
 	switch {
-	case n == nil || n.address != f.Address || ending == logic.NeverSent:
+	case n == nil || ending == logic.NeverSent:
 	case ending <= logic.NodeFull || ending == logic.Spoilt:
 		n.heard = time.Now()
 	case n.heard.Before(began):
@@ -204,14 +265,6 @@
 	p.held--
 }
 
-// listed tells whether a node still takes hits at this address.
-func (p *Pool) listed(id logic.NodeID, address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := p.nodes[id]
-	return n != nil && n.address == address
-}
-
 // Run retires idle connections until ctx ends, and then all of them. Danger: a forward may be out still, its hit long
 // answered; what it gives back later would be nobody's.
 func (p *Pool) Run(ctx context.Context) {
@@ -246,12 +299,13 @@
 // Forward starts a forward; what it returns calls it off.
 func (p *Pool) Forward(f marshal.Forward) (recall func()) {
 	ctx, cancel := context.WithCancel(context.Background())
+	to := p.aimed(f.Node, f.Address) // on the caller's goroutine: by the list by which it decided
 	go func() {
 		defer cancel()
 		began := time.Now()
-		end := p.run(ctx, f)
+		end := p.run(ctx, f, to)
 		end.At = p.clock.Now()
-		p.ended(f, began, end.Ending)
+		p.ended(to.node, began, end.Ending)
 		f.Ended(end)
 	}()
 	return cancel
@@ -260,16 +314,16 @@
 // run carries one forward. Danger: http.Transport sends again by itself and hides whether the last byte was
 // written, so the request is written here, in one piece and once. What is given up is closed before it is told,
 // else the next forward of the hit would be a second copy.
-func (p *Pool) run(ctx context.Context, f marshal.Forward) marshal.End {
+func (p *Pool) run(ctx context.Context, f marshal.Forward, to aim) marshal.End {
 	until := p.clock.Time(f.Until)
 	for {
-		c := p.take(f.Node, f.Address)
+		c := p.take(to)
 		kept, idle := c != nil, time.Duration(0)
 		if kept {
 			idle = time.Since(c.since)
 		} else {
 			var ending logic.Ending
-			if c, ending = p.open(ctx, f, until); c == nil {
+			if c, ending = p.open(ctx, f, to, until); c == nil {
 				return marshal.End{Ending: ending}
 			}
 		}
@@ -280,7 +334,7 @@
 			p.reused(idle, written && end.Ending != logic.Broken)
 		}
 		if stop() && keep {
-			p.give(f.Node, c)
+			p.give(f.Node, to.node, c)
 		} else {
 			p.drop(c)
 		}
@@ -300,12 +354,12 @@
 }
 
 // open makes a connection; without one it tells how the forward has ended.
-func (p *Pool) open(ctx context.Context, f marshal.Forward, until time.Time) (*conn, logic.Ending) {
-	if !p.reserve() {
+func (p *Pool) open(ctx context.Context, f marshal.Forward, to aim, until time.Time) (*conn, logic.Ending) {
+	if !p.stands(to) || !p.reserve() {
 		return nil, logic.NeverSent
 	}
 	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", f.Address)
+	raw, err := p.dial(ctx, &dialer, f.Address)
 	p.mu.Lock()
 	if err == nil {
 		p.done.Opened++
@@ -314,13 +368,13 @@
 	}
 	p.mu.Unlock()
 	switch {
-	case err == nil && p.listed(f.Node, f.Address):
-		return newConn(raw, f.Address), 0
+	case err == nil && p.stands(to): // once more, for a list may have come while it came up
+		return newConn(raw), 0
 	case err == nil:
 		raw.Close()
 	}
 	p.release()
-	if err == nil || ctx.Err() != nil || !time.Now().Before(until) ||
+	if err == nil || !p.stands(to) || ctx.Err() != nil || !time.Now().Before(until) ||
 		errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) { // which says nothing of the node
 		return nil, logic.NeverSent
 	}
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -243,7 +243,8 @@
 		change func(p *Pool, address string)
 		conns  int32
 	}{
-		"again":            {func(*Pool, string) {}, 1},
+		"again":            {func(p *Pool, _ string) { p.rested("n") }, 1},
+		"not rested":       {func(p *Pool, _ string) { p.cool = time.Hour }, 2},
 		"retired":          {func(p *Pool, _ string) { p.idle = 0 }, 2},
 		"swept":            {func(p *Pool, _ string) { p.idle = 0; p.retire(false); p.idle = time.Hour }, 2},
 		"shut":             {func(p *Pool, _ string) { p.CloseIdle("n") }, 2},
@@ -270,6 +271,119 @@
 	}
 }
 
+// rested has the idle connections to a node stand as if they had rested; they can't be used before.
+func (p *Pool) rested(id logic.NodeID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.nodes[id].idle {
+		c.since = c.since.Add(-p.cool)
+	}
+}
+
+// A second answer to a request, which comes when the next one has been written, is never taken for the answer to that.
+func TestSecondAnswerLate(t *testing.T) {
+	const late = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	firsts := make(chan net.Conn, 2)
+	s := newStand(t, func(c net.Conn, r *http.Request) {
+		if r.Header.Get("X-Correlation-Id") == "first" {
+			say(ok)(c, r)
+			firsts <- c
+			return
+		}
+		first := <-firsts
+		io.WriteString(first, late) // the node's own fault: it answers the first request once more
+		if first != c {
+			say(ok)(c, r)
+		}
+	})
+	p := newPool(4)
+	p.cool = time.Hour
+	p.Moved("n", s.Addr().String())
+	send := func(id string) marshal.End {
+		ends := make(chan marshal.End, 1)
+		p.Forward(marshal.Forward{Node: "n", Address: s.Addr().String(), Until: p.clock.Now() + 1000,
+			Request: &marshal.Request{Method: "POST", URI: "/", Host: "h", Fields: map[string][]string{"X-Correlation-Id": {id}}},
+			Ended:   func(e marshal.End) { ends <- e }})
+		return <-ends
+	}
+	send("first")
+	if end := send("next"); end.Ending != logic.Delivered || string(end.Reply.Body) != "hi" {
+		t.Errorf("ended %d with %q", end.Ending, end.Reply.Body)
+	}
+	p.mu.Lock()
+	old := p.nodes["n"].idle[0] // what has come on it meanwhile is seen once it has rested
+	p.mu.Unlock()
+	for end := time.Now().Add(5 * time.Second); old.quiet(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the second answer did not come")
+		}
+	}
+	p.rested("n")
+	p.mu.Lock()
+	p.nodes["n"].idle = p.nodes["n"].idle[:1] // only that one
+	p.held = 1
+	p.mu.Unlock()
+	if c := p.take(p.aimed("n", s.Addr().String())); c != nil || p.count() != 0 {
+		t.Errorf("a connection with a second answer on it is used again, %d held", p.count())
+	}
+}
+
+// What comes between the decision for a node and the first byte: another machine at the node's address, its drain, a
+// lower cap. The forward isn't sent, and the next one is.
+func TestBetweenDecisionAndSending(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change func(p *Pool, address string)
+		idle   int // connections that are kept nevertheless
+	}{
+		"another machine there": {func(p *Pool, address string) { p.Moved("n", address) }, 0},
+		"drains":                {func(p *Pool, _ string) { p.Moved("n", "") }, 0},
+		"drains and is back":    {func(p *Pool, address string) { p.Moved("n", ""); p.Moved("n", address) }, 0},
+		"a lower cap":           {func(p *Pool, _ string) { p.Unsend("n") }, 1},
+	} {
+		for _, when := range []string{"while it is dialed", "before it is taken"} {
+			t.Run(name+" "+when, func(t *testing.T) {
+				s, p := newStand(t, say(ok)), newPool(4)
+				address := s.Addr().String()
+				p.forward(address, "GET", 1000, nil)
+				began := p.aimed("n", address)
+				requests := s.requests.Load()
+				if when == "while it is dialed" { // all that is idle has not rested yet
+					p.cool = time.Hour
+					dial := p.dial
+					p.dial = func(ctx context.Context, d *net.Dialer, to string) (net.Conn, error) {
+						c, err := dial(ctx, d, to)
+						tc.change(p, address)
+						return c, err
+					}
+				} else {
+					p.rested("n")
+					tc.change(p, address)
+				}
+				end := p.run(t.Context(), marshal.Forward{Node: "n", Address: address, Until: p.clock.Now() + 1000,
+					Request: &marshal.Request{Method: "POST", URI: "/", Host: "h"}}, began)
+				if end.Ending != logic.NeverSent || s.requests.Load() != requests {
+					t.Errorf("ended %d, sent %d times", end.Ending, s.requests.Load()-requests)
+				}
+				if p.count() != tc.idle {
+					t.Errorf("%d connections kept, want %d", p.count(), tc.idle)
+				}
+			})
+		}
+	}
+}
+
+// A connection to the machine that was the node before is not kept for the one that is it now, at the same address.
+func TestGivenBackToAnother(t *testing.T) {
+	came, held := make(chan struct{}), make(chan struct{})
+	s := newStand(t, func(c net.Conn, r *http.Request) { came <- struct{}{}; <-held; say(ok)(c, r) })
+	p := newPool(4)
+	address := s.Addr().String()
+	end := p.forward(address, "GET", 1000, func(func()) { <-came; p.Moved("n", address); close(held) })
+	if end.Ending != logic.Delivered || p.count() != 0 {
+		t.Errorf("ended %d, %d connections kept", end.Ending, p.count())
+	}
+}
+
 // A pool that has ended keeps no connection of a forward that is answered later, and opens none.
 func TestEnd(t *testing.T) {
 	came, held := make(chan struct{}, 9), make(chan struct{})
@@ -301,11 +415,11 @@
 			s, p := newStand(t, say(ok)), newPool(4)
 			address := s.Addr().String()
 			p.forward(address, "GET", 1000, nil)
-			f, began := marshal.Forward{Node: "n", Address: address}, time.Now()
+			n, began := p.aimed("n", address).node, time.Now()
 			if tc.heard {
-				p.ended(f, began, logic.Delivered)
+				p.ended(n, began, logic.Delivered)
 			}
-			if p.ended(f, began, tc.ending); len(p.nodes["n"].idle) != tc.idle || p.held != tc.idle {
+			if p.ended(n, began, tc.ending); len(p.nodes["n"].idle) != tc.idle || p.held != tc.idle {
 				t.Errorf("idle %d, held %d, want %d", len(p.nodes["n"].idle), p.held, tc.idle)
 			}
 		})
@@ -330,7 +444,14 @@
 // A forward whose connection comes up after its node has begun to drain is not sent.
 func TestDrainMeanwhile(t *testing.T) {
 	s, p := newStand(t, say(ok)), newPool(4)
-	c, ending := p.open(t.Context(), marshal.Forward{Node: "n", Address: s.Addr().String()}, time.Now().Add(time.Second))
+	p.Moved("n", s.Addr().String())
+	to := p.aimed("n", s.Addr().String())
+	dial := p.dial
+	p.dial = func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+		p.Moved("n", "")
+		return dial(ctx, d, address)
+	}
+	c, ending := p.open(t.Context(), marshal.Forward{Node: "n", Address: s.Addr().String()}, to, time.Now().Add(time.Second))
 	if c != nil || ending != logic.NeverSent || p.held != 0 {
 		t.Errorf("connection %v, ending %d, held %d", c, ending, p.held)
 	}
