A short silence of the agent is heard within the grace; a move as the next agent speaks ends no watch

Change: pushed lists are watched in calls of half the grace, due a quarter of it later, and asked for whole at once if that is missed; Run asks who has spoken before it ends a watch; 16 calls at most, the first of them stays; no grace counts as 50 ms.

Seen to fail without: TestShortSilence, TestMoveAsTheNextSpeaks, TestFewCalls.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,11 +1,13 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,9 +28,15 @@
 	pause   = 50 * time.Millisecond  // after a failure; the next call must come within 200 ms
 	rest    = 200 * time.Millisecond // for the rest of an answer that has begun: it stands ready at the agent
 	hasty   = 4                      // part of the grace for drains: between calls to an agent that is silent
+	often   = 2                      // part of it: of a watch on pushed lists, see New
+	slack   = 50 * time.Millisecond  // by which time limits are longer on sockets: a grace of nothing, or none, counts as this
+	beside  = 16                     // calls that are open at once, half of the descriptors that are kept for such
 	longest = 1 << 20                // bytes of a list
 )
 
+// errOverdue ends a watch that is not answered when it is due.
+var errOverdue = errors.New("watch not answered")
+
 // errRefused is the answer of a service that has too many calls.
 var errRefused = errors.New("refused")
 
@@ -50,12 +58,15 @@
 
 	wait, answer, rest, pause time.Duration
 	hasten                    time.Duration // a call that is not answered by then gets another beside it; 0: none does
+	heard                     chan struct{} // closed as soon as a list has been told
+	once                      sync.Once
 }
 
 // New makes a follower of the list at address; known is the list that is held, if any.
 func New(address string, known *marshal.List, n settings.Network, told func(marshal.List), log logrus.FieldLogger) *Follower {
 	f := &Follower{address: address, known: -1, asks: n.AskList, told: told, log: log, lookup: make(chan struct{}, 1),
-		again: make(chan struct{}, 1), moved: make(chan string), wait: wait, answer: answer, rest: rest, pause: pause}
+		again: make(chan struct{}, 1), moved: make(chan string), heard: make(chan struct{}), wait: wait, answer: answer,
+		rest: rest, pause: pause}
 	// Danger: a call given up while it waits its turn is carried out all the same. Where all marshals gave theirs up,
 	// the service would work for nobody.
 	if f.asks {
@@ -64,15 +75,21 @@
 	if f.asks && known != nil {
 		f.known = known.Stamp
 	}
+	// Danger: a watch that was open when the agent fell silent may never be answered, and what the agent holds as soon as it
+	// is back counts as told. So a pushed list is watched in calls of half the grace, each due soon after: however short
+	// the silence, its end is heard within the grace.
 	if !f.asks {
-		f.hasten = min(clock.Span(n.DrainGrace)/hasty, f.answer)
-		if f.hasten > 0 {
-			f.pause = min(f.pause, f.hasten)
-		}
+		grace := cmp.Or(clock.Span(n.DrainGrace), slack)
+		f.hasten = min(grace/hasty, f.answer)
+		f.wait = min(f.wait, grace/often)
+		f.pause = min(f.pause, f.hasten)
 	}
 	return f
 }
 
+// Heard is closed as soon as a list has been told.
+func (f *Follower) Heard() <-chan struct{} { return f.heard }
+
 // Calls is how many calls for the list went out since the start.
 func (f *Follower) Calls() int64 { return f.calls.Load() }
 
@@ -121,8 +138,15 @@
 			}
 		})
 	}
+	now := 0                   // the newest that has spoken
+	spoke := func(n int) int { // ends the one before it
+		if n > now && cancel[now] != nil {
+			cancel[now]()
+		}
+		return max(n, now)
+	}
 	begin(f.address, f.known)
-	for now := 0; ; {
+	for {
 		select {
 		case <-ctx.Done():
 			for _, c := range cancel {
@@ -130,15 +154,15 @@
 			}
 			return
 		case address := <-f.moved:
-			if number != now { // hasn't spoken, and never need
+			// Danger: a watch may have told its list and not be heard here yet. Taken for one that has not spoken it would end,
+			// and so would the one before it, which is no longer the newest: nobody would follow.
+			now = spoke(f.spoken())
+			if number != now && cancel[number] != nil { // hasn't spoken, and never need
 				cancel[number]()
 			}
 			begin(address, -1)
 		case n := <-speaks:
-			if now != n && cancel[now] != nil {
-				cancel[now]()
-			}
-			now = n
+			now = spoke(n)
 		case n := <-over:
 			cancel[n]()
 			delete(cancel, n)
@@ -171,6 +195,9 @@
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errOverdue) && f.hasten > 0:
+			f.at = -1 // at once, for the agent may be back
+			continue
 		case err != nil:
 			if f.causes.New("silent") {
 				f.log.WithError(err).Warn("discovery silent or unreadable")
@@ -217,29 +244,46 @@
 // whole asks for the whole list, and again beside the calls that are not answered, until one is or the first fails.
 // Danger: an agent that is down for a while answers none of the calls that it took meanwhile, and what it holds from
 // its first moment back counts as told. Asked once a second, hundreds of marshals sent new hits to nodes that had begun
-// to drain during the outage, up to a second past the grace. The others stay open, for it may also be slow.
+// to drain during the outage, up to a second past the grace. The first stays open, for the agent may also be slow; of the
+// others the oldest makes room.
 func (f *watch) whole(ctx context.Context) (marshal.List, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type answer struct {
+	type call struct {
+		end  context.CancelFunc
 		list marshal.List
 		err  error
 	}
-	answers := make(chan answer, f.answer/f.hasten+2) // room for all, so that none waits for a reader
+	answered := make(chan *call)
 	again := time.NewTicker(f.hasten)
 	defer again.Stop()
-	for calls := 0; ; {
-		if calls < cap(answers) {
-			calls++
-			go func() {
-				list, err := f.get(ctx, f.base)
-				answers <- answer{list, err}
-			}()
+	for open := []*call(nil); ; { // the oldest first
+		if len(open) == beside {
+			open[1].end()
+			open = slices.Delete(open, 1, 2)
 		}
-		select {
-		case a := <-answers:
-			return a.list, a.err
-		case <-again.C:
+		of, end := context.WithCancel(ctx)
+		c := &call{end: end}
+		open = append(open, c)
+		go func() {
+			defer end()
+			c.list, c.err = f.get(of, f.base)
+			select {
+			case answered <- c:
+			case <-ctx.Done():
+			}
+		}()
+		for waits := true; waits; {
+			select {
+			case c := <-answered:
+				if c.err == nil || slices.Contains(open, c) { // else it has made room
+					return c.list, c.err
+				}
+			case <-again.C:
+				waits = false
+			case <-ctx.Done():
+				return marshal.List{}, ctx.Err()
+			}
 		}
 	}
 }
@@ -268,6 +312,7 @@
 	newest := f.spoke == f.number
 	if newest && (f.asks || list.How == logic.Whole || len(list.Entries) > 0) { // one without entries: the call was taken
 		f.told(list)
+		f.once.Do(func() { close(f.heard) })
 	}
 	f.mu.Unlock()
 	if first {
@@ -279,14 +324,24 @@
 	return newest
 }
 
+// spoken is the number of the newest watch that was told something.
+func (f *Follower) spoken() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.spoke
+}
+
 func (f *watch) get(ctx context.Context, url string) (marshal.List, error) {
-	limit := f.answer
-	if url != f.base {
+	limit, watching := f.answer, url != f.base
+	if watching && f.hasten > 0 {
+		limit = f.wait + f.hasten
+	} else if watching {
 		limit += f.wait
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	overdue := time.AfterFunc(limit, cancel)
+	var late atomic.Bool
+	overdue := time.AfterFunc(limit, func() { late.Store(true); cancel() })
 	defer overdue.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -294,7 +349,10 @@
 	}
 	f.calls.Add(1)
 	res, err := f.client.Do(req)
-	if err != nil {
+	switch {
+	case err != nil && watching && late.Load():
+		return marshal.List{}, errOverdue
+	case err != nil:
 		return marshal.List{}, err
 	}
 	defer res.Body.Close()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -312,3 +312,140 @@
 		})
 	}
 }
+
+// agent is a stand-in for which the test says what each call gets: the answer, or "" for none.
+func agent(t *testing.T, answer func(r *http.Request) string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a := answer(r); a != "" {
+			io.WriteString(w, a)
+		} else {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// follow runs a follower until the test ends.
+func follow(t *testing.T, f *Follower) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { f.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return ctx
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// expect waits for the list of this number.
+func expect(t *testing.T, told <-chan marshal.List, stamp int64) {
+	t.Helper()
+	select {
+	case l := <-told:
+		if l.Stamp != stamp {
+			t.Errorf("list %d told, want %d", l.Stamp, stamp)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatalf("list %d not told", stamp)
+	}
+}
+
+// An agent is silent only for as long as it takes to lose the open watch; what it holds then is heard within the grace.
+func TestShortSilence(t *testing.T) {
+	const grace = 2000
+	told, lost := make(chan marshal.List, 10), make(chan time.Time, 1)
+	var calls atomic.Int64
+	f := New(agent(t, func(r *http.Request) string {
+		switch calls.Add(1) {
+		case 1:
+			return list(41, true, "Ready")
+		case 2: // lost with the watch
+			lost <- time.Now()
+		case 3:
+			return list(42, true, "Terminating")
+		}
+		return ""
+	}), nil, settings.Network{DrainGrace: grace}, func(l marshal.List) { told <- l }, quiet())
+	follow(t, f)
+	expect(t, told, 41)
+	<-f.Heard()
+	back := <-lost
+	expect(t, told, 42)
+	if took := time.Since(back); took > grace*time.Millisecond {
+		t.Errorf("heard %v after the agent was back", took)
+	}
+}
+
+// A move that comes when the next agent has told its list, and before that is known, ends neither watch: what that
+// agent tells afterwards is heard, while the address after it is silent.
+func TestMoveAsTheNextSpeaks(t *testing.T) {
+	told, more := make(chan marshal.List, 10), make(chan string, 1)
+	hold := func(r *http.Request) string { return "" }
+	one := agent(t, func(r *http.Request) string {
+		if r.URL.RawQuery == "" {
+			return list(41, true, "Ready")
+		}
+		return ""
+	})
+	two := agent(t, func(r *http.Request) string {
+		if r.URL.RawQuery == "" {
+			return list(7, true, "Ready")
+		}
+		select {
+		case a := <-more:
+			return a
+		case <-r.Context().Done():
+			return ""
+		}
+	})
+	silent := agent(t, hold)
+	var f *Follower
+	var ctx context.Context
+	f = New(one, nil, settings.Network{DrainGrace: 4000}, func(l marshal.List) {
+		if l.Stamp == 7 {
+			f.Move(ctx, silent) // taken by Run while this watch has told and not yet said so
+		}
+		told <- l
+	}, quiet())
+	ctx = follow(t, f)
+	expect(t, told, 41)
+	f.Move(ctx, two)
+	expect(t, told, 7)
+	more <- list(8, false, "Terminating")
+	expect(t, told, 8)
+}
+
+// However short the grace, a silent agent has few calls open, for each takes a descriptor; and the first of them is heard
+// when it is answered at last.
+func TestFewCalls(t *testing.T) {
+	told, first := make(chan marshal.List, 10), make(chan struct{})
+	var calls, open, most atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := calls.Add(1)
+		now := open.Add(1)
+		defer open.Add(-1)
+		most.Store(max(most.Load(), now))
+		if n == 1 {
+			<-first
+			io.WriteString(w, list(41, true, "Ready"))
+			return
+		}
+		if n == 4*beside {
+			close(first)
+		}
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	f := New(s.Listener.Addr().String(), nil, settings.Network{DrainGrace: 8}, func(l marshal.List) { told <- l }, quiet())
+	f.answer = 10 * time.Second
+	follow(t, f)
+	expect(t, told, 41)
+	// The stand-in sees the end of a call a moment late.
+	if most.Load() > 2*beside {
+		t.Errorf("%d calls open at once, want %d or hardly more", most.Load(), beside)
+	}
+}
