Leaving takes what waits in the listener's queue; a front can be held until it is ready

Change: Accept counts what it returns; once shut the gate goes on until a look finds nothing more, and closes the listener in one place; what comes on after that is bounced at once with when to come back; a new connection keeps its tenth of a second.

Seen to fail without: TestLeaveWithQueue, TestLeaveBeforeCounted, TestLeaveHalfway, TestMoment, TestHold. TestFull was flaky under load (1 of 12 beside each other): a client has its answer before its connection counts as idle, so the other one could be the longest idle. It waits for each in turn now, as strict as before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,6 +56,7 @@
 	gate     *gate
 	server   *http.Server
 	leaving  atomic.Bool
+	held     atomic.Bool                            // by Hold
 	resumed  func(*logic.PathGroup) takeover.Resume // nil: hits are not brought again
 
 	mu  sync.Mutex
@@ -89,12 +90,19 @@
 // Resume has hits taken that clients bring again from marshals that are gone, marked by X-Resume; before Serve.
 func (f *Front) Resume(decide func(*logic.PathGroup) takeover.Resume) { f.resumed = decide }
 
+// Hold has hits bounced, and /up say no, until Ready; before Serve. Danger: what discovery has told counts from a
+// process's first moment on, and the list of its configuration may be older.
+func (f *Front) Hold() { f.held.Store(true) }
+
+// Ready ends Hold.
+func (f *Front) Ready() { f.held.Store(false) }
+
 // quietLog is for what clients do wrong, which is no line in our log.
 func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
 
 // up tells the front layer whether this marshal takes hits.
 func (f *Front) up(w http.ResponseWriter) {
-	if f.leaving.Load() {
+	if f.leaving.Load() || f.held.Load() {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -228,7 +236,9 @@
 
 // RoundTrip hands a hit to the marshal and waits for its final answer.
 func (f *Front) RoundTrip(r *http.Request) (*http.Response, error) {
-	if f.gate.full() {
+	// Danger: a hit that comes when the gate is shut, on a connection that was still open, may not be answered by a node
+	// before the process is killed.
+	if f.held.Load() || f.gate.isShut() || f.gate.full() {
 		res := response(r, marshal.Answer{Kind: marshal.Bounced, ComeBack: f.comeBack})
 		res.Close = true
 		return res, nil
@@ -276,7 +286,9 @@
 
 // Serve takes connections until Leave.
 func (f *Front) Serve(l net.Listener) error {
-	f.gate.Listener = l
+	if !f.gate.open(l) { // left before it began
+		return l.Close()
+	}
 	err := f.server.Serve(f.gate)
 	if f.leaving.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -290,7 +302,7 @@
 func (f *Front) Leave(grace time.Duration) error {
 	f.leaving.Store(true)
 	time.Sleep(grace)
-	if err := f.gate.Close(); err != nil {
+	if err := f.gate.shutdown(); err != nil {
 		return err
 	}
 	last := time.Now().Add(clock.Span(f.network.LongestTimeout + f.network.AnswerSlack))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"ottershed/internal/clock"
 	"ottershed/internal/marshal"
 	"ottershed/internal/settings"
+	"ottershed/internal/socket"
 	"ottershed/logic"
 )
 
@@ -343,12 +345,11 @@
 func TestFull(t *testing.T) {
 	f, m, address := start(t, 2)
 	clients := []*client{dial(t, address), dial(t, address)}
-	for _, c := range clients {
+	for i, c := range clients { // one after the other: a client has its answer before its connection counts as idle
 		c.send("GET /up", "", "")
-		c.answer()
-	}
-	for f.gate.resting() < 2 {
-		time.Sleep(time.Millisecond)
+		for c.answer(); f.gate.resting() <= i; {
+			time.Sleep(time.Millisecond)
+		}
 	}
 	clients = append(clients, dial(t, address))
 	clients[2].send("GET /read/1", "X-Time-Left: 1\r\n", "")
@@ -429,3 +430,216 @@
 		t.Error(err)
 	}
 }
+
+// gated is a listener that accepts only when the test lets it.
+type gated struct {
+	*net.TCPListener
+	let chan struct{}
+}
+
+func (g gated) Accept() (net.Conn, error) {
+	<-g.let
+	return g.TCPListener.Accept()
+}
+
+// serve starts a front on l, prepared by the test.
+func serve(t *testing.T, l net.Listener, prepare func(*Front)) (*Front, fake) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m := fake{make(chan *marshal.Hit, 100), make(chan *marshal.Hit, 100)}
+	f := New(m, clock.New(), logic.Settings{MaxComeBack: 500, Groups: []logic.PathGroup{{Name: "read", Effect: logic.Repeatable}}},
+		settings.Network{LongestTimeout: 2000, AnswerSlack: 20}, 10, log)
+	if prepare != nil {
+		prepare(f)
+	}
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(l) }()
+	t.Cleanup(func() {
+		f.server.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return f, m
+}
+
+func listen(t *testing.T) *net.TCPListener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.(*net.TCPListener)
+}
+
+// leave has the front leave at once, and waits until it accepts nothing more or has begun to.
+func leave(f *Front) chan error {
+	left := make(chan error, 1)
+	go func() { left <- f.Leave(0) }()
+	for !f.gate.isShut() {
+		time.Sleep(time.Millisecond)
+	}
+	return left
+}
+
+// A hit on a connection that still waits in the system's queue when the marshal ends accepting gets its answer.
+func TestLeaveWithQueue(t *testing.T) {
+	l := gated{listen(t), make(chan struct{})}
+	f, _ := serve(t, l, nil)
+	clients := []*client{dial(t, l.Addr().String()), dial(t, l.Addr().String()), dial(t, l.Addr().String())}
+	for _, c := range clients {
+		c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
+	}
+	left := leave(f)
+	close(l.let)
+	for _, c := range clients {
+		if res, _ := c.answer(); res.StatusCode != 503 || !res.Close || res.Header.Get("Retry-After") == "" {
+			t.Errorf("status %d, closes %v", res.StatusCode, res.Close)
+		}
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
+
+// A marshal doesn't end between accepting a connection and the server's count of it.
+func TestLeaveBeforeCounted(t *testing.T) {
+	came, let := make(chan struct{}), make(chan struct{})
+	l := listen(t)
+	f, _ := serve(t, l, func(f *Front) {
+		f.server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { // the server's last step before
+			close(came)
+			<-let
+			return ctx
+		}
+	})
+	c := dial(t, l.Addr().String())
+	c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
+	<-came
+	left := leave(f)
+	if n := f.gate.count(); n != 1 {
+		t.Errorf("%d connections counted, want the one that was accepted", n)
+	}
+	close(let)
+	if res, _ := c.answer(); res.StatusCode != 503 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
+
+// What comes while the marshal ends: the rest of a hit is answered at once; a client that has connected and not asked yet
+// has its moment; one whose time is long gets its answer.
+func TestLeaveHalfway(t *testing.T) {
+	l := listen(t)
+	f, m := serve(t, l, nil)
+	half, long := dial(t, l.Addr().String()), dial(t, l.Addr().String())
+	long.send("GET /read/1", "X-Time-Left: 2\r\n", "")
+	hit := <-m.hits
+	io.WriteString(half, "GET /read/1 HTTP/1.1\r\nX-Time-Le")
+	for f.gate.asked() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	new := dial(t, l.Addr().String())
+	for f.gate.count() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	left := leave(f)
+	new.send("GET /read/1", "X-Time-Left: 1\r\n", "")
+	io.WriteString(half, "ft: 1\r\nHost: h\r\nX-Correlation-Id: half\r\n\r\n")
+	for name, c := range map[string]*client{"half a hit": half, "a new connection": new} {
+		if res, _ := c.answer(); res.StatusCode != 503 || !res.Close {
+			t.Errorf("%s: status %d, closes %v", name, res.StatusCode, res.Close)
+		}
+	}
+	select {
+	case <-left:
+		t.Error("left with a hit open")
+	default:
+	}
+	hit.Answer(marshal.Answer{Kind: marshal.Delivered, Reply: &marshal.Reply{Fields: map[string][]string{}, Body: []byte("hi")}})
+	if res, body := long.answer(); res.StatusCode != 200 || body != "hi" {
+		t.Errorf("the long hit: status %d, %q", res.StatusCode, body)
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
+
+// A new connection on which nothing has come has its moment, also when the marshal leaves.
+func TestMoment(t *testing.T) {
+	l := listen(t)
+	f, _ := serve(t, l, nil)
+	dial(t, l.Addr().String())
+	for f.gate.count() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, tc := range []struct {
+		age  time.Duration
+		left int
+	}{{-time.Hour, 1}, {silence, 0}} {
+		f.gate.mu.Lock()
+		for c, p := range f.gate.conns {
+			p.since = time.Now().Add(-tc.age)
+			f.gate.conns[c] = p
+		}
+		f.gate.mu.Unlock()
+		if n := f.gate.clear(); n != tc.left {
+			t.Errorf("%v after it came: %d left, want %d", tc.age, n, tc.left)
+		}
+	}
+}
+
+// asked is how many connections have something unanswered on them.
+func (g *gate) asked() (n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if c.(*socket.Conn).Asked() {
+			n++
+		}
+	}
+	return n
+}
+
+// A marshal that is told to leave before it serves ends in good order and takes nothing.
+func TestLeaveBeforeServing(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := New(fake{}, clock.New(), logic.Settings{}, settings.Network{LongestTimeout: 2000, AnswerSlack: 20}, 10, log)
+	if err := f.Leave(0); err != nil {
+		t.Error(err)
+	}
+	l := listen(t)
+	if err := f.Serve(l); err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("accepts")
+	}
+}
+
+// Until it is ready a marshal says no and bounces hits, with when to come back; none reaches the module.
+func TestHold(t *testing.T) {
+	l := listen(t)
+	f, m := serve(t, l, (*Front).Hold)
+	ask := func(line string) *http.Response {
+		c := dial(t, l.Addr().String())
+		c.send(line, "X-Time-Left: 1\r\n", "")
+		res, _ := c.answer()
+		return res
+	}
+	if res := ask("GET /up"); res.StatusCode != 503 {
+		t.Errorf("up says %d", res.StatusCode)
+	}
+	if res := ask("GET /read/1"); res.StatusCode != 503 || res.Header.Get("Retry-After") != "0.500" {
+		t.Errorf("a hit: %d, %v", res.StatusCode, res.Header)
+	}
+	if f.Ready(); len(m.hits) != 0 {
+		t.Error("a hit reached the module")
+	}
+	if res := ask("GET /up"); res.StatusCode != 200 {
+		t.Errorf("ready, up says %d", res.StatusCode)
+	}
+}
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -15,7 +17,11 @@
 // gate counts the connections of clients. The server owns and closes them; the gate closes only those on which nothing
 // is asked: when they are too many first those that never asked, then the longest idle one; all of them at the end.
 type gate struct {
-	net.Listener
+	listener net.Listener
+	ended    chan struct{} // closed with the listener
+	once     sync.Once
+	failed   error // to close it
+
 	most int // beyond it, hits are bounced and their connections closed
 	log  logrus.FieldLogger
 
@@ -39,11 +45,22 @@
 const silence = inTime / 10
 
 func newGate(most int, log logrus.FieldLogger) *gate {
-	g := &gate{most: most, log: log, conns: map[net.Conn]place{}, fresh: list.New(), idle: list.New()}
+	g := &gate{ended: make(chan struct{}), most: most, log: log, conns: map[net.Conn]place{}, fresh: list.New(), idle: list.New()}
 	g.room = sync.NewCond(&g.mu)
 	return g
 }
 
+// open has the gate accept from l; false once it is shut.
+func (g *gate) open(l net.Listener) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listener = l
+	return !g.shut
+}
+
+// Addr is that of the listener.
+func (g *gate) Addr() net.Addr { return g.listener.Addr() }
+
 // Accept waits while more than an eighth beyond the most connections stand; what waits then is not lost. Danger: hundreds
 // that connect and say nothing would shut the usual clients out until their time is over.
 func (g *gate) Accept() (net.Conn, error) {
@@ -56,20 +73,84 @@
 		}
 	}
 	g.mu.Unlock()
-	c, err := g.Listener.Accept()
+	c, err := g.next()
+	if err != nil {
+		return nil, err
+	}
+	conn, err := socket.NewConn(c.(*net.TCPConn))
 	if err != nil {
 		return nil, err
 	}
-	return socket.NewConn(c.(*net.TCPConn))
+	// Danger: the server tells of it a moment later, and a marshal that leaves in between would end with the hit on it.
+	g.state(conn, http.StateNew)
+	return conn, nil
 }
 
-// Close ends accepting.
-func (g *gate) Close() error {
+// next takes the next connection; once the gate is shut those alone that have come before, then net.ErrClosed. Danger: a
+// hit on a connection that waits its turn in the system's queue is lost if the listener closes first.
+func (g *gate) next() (net.Conn, error) {
+	for {
+		g.mu.Lock()
+		shut := g.shut
+		g.mu.Unlock()
+		limited, ok := g.listener.(interface{ SetDeadline(time.Time) error })
+		switch {
+		case shut && (!ok || limited.SetDeadline(time.Now().Add(lastLook)) != nil):
+			return nil, g.end()
+		}
+		c, err := g.listener.Accept()
+		late := errors.Is(err, os.ErrDeadlineExceeded)
+		switch {
+		case late && !shut: // woken by Close
+		case late || errors.Is(err, net.ErrClosed):
+			return nil, g.end()
+		default:
+			return c, err
+		}
+	}
+}
+
+// lastLook is how long a gate that is shut looks for connections that have come before; the system has them ready.
+const lastLook = 5 * time.Millisecond
+
+// end closes the listener, once.
+func (g *gate) end() error {
+	g.once.Do(func() {
+		g.failed = g.listener.Close()
+		close(g.ended)
+	})
+	return net.ErrClosed
+}
+
+// shutdown ends accepting, and returns once all that had come is accepted.
+func (g *gate) shutdown() error {
 	g.mu.Lock()
 	g.shut = true
+	limited, ok := g.listener.(interface{ SetDeadline(time.Time) error })
+	none := g.listener == nil
+	if ok { // wakes who waits in next, before whoever sees shut sets another
+		ok = limited.SetDeadline(time.Now()) == nil
+	}
 	g.mu.Unlock()
 	g.room.Broadcast()
-	return g.Listener.Close()
+	switch {
+	case none:
+		return nil // Serve comes too late and accepts nothing
+	case !ok:
+		g.end()
+	}
+	select {
+	case <-g.ended:
+	case <-time.After(owed): // Danger: short of descriptors the server looks only so often
+		g.end()
+	}
+	return g.failed
+}
+
+// Close closes the listener; the server does so at its end.
+func (g *gate) Close() error {
+	g.end()
+	return g.failed
 }
 
 // state follows what the server does with a connection.
@@ -121,18 +202,25 @@
 	return false
 }
 
-// clear closes all connections on which nothing is asked and tells how many others are left.
+// clear closes all connections on which nothing is asked and tells how many others are left. A new one has its moment.
 func (g *gate) clear() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c, p := range g.conns {
-		if p.in != nil && c.(*socket.Conn).CloseUnasked() {
+		if p.in != nil && (p.in != g.fresh || time.Since(p.since) >= silence) && c.(*socket.Conn).CloseUnasked() {
 			g.remove(c)
 		}
 	}
 	return len(g.conns)
 }
 
+// isShut tells whether accepting has ended.
+func (g *gate) isShut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shut
+}
+
 // full tells whether a hit must be bounced for want of descriptors or memory. Those that never asked are not in its way.
 func (g *gate) full() bool {
 	g.mu.Lock()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -80,6 +80,13 @@
 	c.asked = false
 }
 
+// Asked tells whether something was read since Rest.
+func (c *Conn) Asked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked
+}
+
 // CloseUnasked closes the connection unless something was asked and not answered, and tells whether it did.
 func (c *Conn) CloseUnasked() bool {
 	c.mu.Lock()
