A new process bounces hits until discovery has told; signals are taken before the configuration is read

Killed or restarted while discovery is silent, it sent hits to nodes that had been announced as leaving. Now it is not ready and bounces hits until a list is told, for 15 s at most (half of the 30 s in which a platform wants it ready); then it goes by the configuration's list as before, with a warning. - serve read the configuration before signal.Notify: a SIGHUP in between ended the process. A SIGTERM that came before anything could be taken ends the process at once, exit code 0.

Seen to fail without: TestStartWhileDiscoveryIsSilent, TestSignalsAtTheStart.

--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -31,7 +31,16 @@
 // grace is how long a marshal that leaves still accepts: the front layer goes on for a while.
 const grace = 600 * time.Millisecond
 
+// unheard is how long a marshal holds back hits at its start while discovery is silent: half of the time in which a
+// platform wants it ready (30 s).
+const unheard = 15 * time.Second
+
 func serve(ctx context.Context, cmd *cli.Command) error {
+	// Danger: until here a signal ends the process as the system's default does. The configuration is read after it, so that
+	// a SIGHUP sent before, which `run` has ignored, is of a file that is read anyway.
+	stop, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := readConfig(cmd)
 	if err != nil {
 		return err
@@ -46,10 +55,6 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(cfg.Limits.MemoryLimit())
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	reread := func() (*config.Config, error) { return config.Reread(cmd.String("config"), os.Getenv) }
 	return run(ctx, cfg, log, stop, hup, reread, cmd.Duration("summary"))
 }
@@ -58,6 +63,12 @@
 // parts end in the order front, then all others.
 func run(ctx context.Context, cfg *config.Config, log logrus.FieldLogger, stop, hup <-chan os.Signal,
 	reread func() (*config.Config, error), every time.Duration) error {
+	select {
+	case sig := <-stop: // it came before anything could be taken
+		log.WithField("signal", sig.String()).Info("left before serving")
+		return nil
+	default:
+	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -122,6 +133,23 @@
 	if group.keeper != nil {
 		f.Resume(takeover.Resumed)
 	}
+	// Danger: what discovery holds counts as told from the process's first moment, a node announced as leaving included; the
+	// list of the configuration may be older. Where a call costs the service something the module says when to ask.
+	if !cfg.Settings.AskList {
+		f.Hold()
+		running.Go(func() {
+			limit := time.NewTimer(unheard)
+			defer limit.Stop()
+			select {
+			case <-ctx.Done():
+				return
+			case <-follower.Heard():
+			case <-limit.C:
+				log.Warn("discovery silent since the start, hits go by the list of the configuration")
+			}
+			f.Ready()
+		})
+	}
 	served := make(chan error, 1)
 	go func() { served <- f.Serve(listener) }()
 	log.WithFields(logrus.Fields{"listen": cfg.Listen, "nodes": known, "connections": most}).Info("serving")
--- a/cmd/ottershed/serve_test.go
+++ b/cmd/ottershed/serve_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -22,6 +23,7 @@
 
 	"ottershed/internal/config"
 	"ottershed/internal/logging"
+	"ottershed/internal/marshal"
 	"ottershed/logic"
 
 	"github.com/sirupsen/logrus"
@@ -324,6 +326,161 @@
 	}
 }
 
+// A new process forwards by no list that may be older than what discovery holds: while its agent is silent it is not
+// ready and bounces hits, and then it goes by what it is told. The node that the old list has and that leaves by now gets
+// nothing.
+func TestStartWhileDiscoveryIsSilent(t *testing.T) {
+	w := newTown(t)
+	defer w.close()
+	var leaving atomic.Int32
+	node := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { leaving.Add(1) }))
+	defer node.Close()
+	back := make(chan struct{})
+	agent := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-back:
+		}
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		entry := `{"name":%q,"address":%q,"zone":"z","type":"k","status":%q,"weight":1,"image_id":1}`
+		fmt.Fprintf(rw, `{"index":2,"snapshot":true,"endpoints":[`+entry+","+entry+"]}", "old", node.Listener.Addr(), "Terminating",
+			"new", w.nodes[0].Listener.Addr(), "Ready")
+	}))
+	defer agent.Close()
+	defer agent.CloseClientConnections()
+	cfg := w.config(t)
+	cfg.Discovery = agent.Listener.Addr().String()
+	cfg.Known = &marshal.List{How: logic.Remembered, Stamp: 1, Entries: []marshal.Entry{{Address: node.Listener.Addr().String(),
+		Node: logic.Node{ID: "old", Zone: "z", Kind: "k", Build: 1, Units: 1}}}}
+	stop, left := make(chan os.Signal, 1), make(chan error)
+	go func() {
+		left <- run(context.Background(), cfg, logging.New(io.Discard, logrus.InfoLevel), stop, nil, nil, 0)
+	}()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	ask := func(path, id string) (int, string) {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+cfg.Listen+path, nil)
+		req.Header.Set("X-Correlation-Id", id)
+		req.Header.Set("X-Time-Left", "0.250")
+		res, err := client.Do(req)
+		if err != nil {
+			return 0, ""
+		}
+		defer res.Body.Close()
+		body, _ := io.ReadAll(res.Body)
+		return res.StatusCode, string(body)
+	}
+	for status := 0; status == 0; time.Sleep(time.Millisecond) {
+		if status, _ = ask("/up", ""); status != 0 && status != http.StatusServiceUnavailable {
+			t.Fatalf("ready before any list is told: /up says %d", status)
+		}
+	}
+	for i := range 20 {
+		if status, _ := ask("/read/1", fmt.Sprint("early", i)); status != http.StatusServiceUnavailable {
+			t.Errorf("a hit before any list is told: %d", status)
+		}
+	}
+	close(back)
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if status, _ := ask("/up", ""); status == http.StatusOK {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("not ready though the list is told")
+		}
+	}
+	for i := range 20 {
+		if status, body := ask("/read/1", fmt.Sprint("late", i)); status != http.StatusOK || body != "hi" {
+			t.Errorf("a hit after the list is told: %d, %q", status, body)
+		}
+	}
+	if stop <- syscall.SIGTERM; leaving.Load() != 0 {
+		t.Errorf("the node that leaves got %d hits", leaving.Load())
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
+
+// Signals that come while the process still reads its configuration: SIGHUP has no part in its end, SIGTERM ends it in
+// good order.
+func TestSignalsAtTheStart(t *testing.T) {
+	for name, tc := range map[string]struct {
+		signals []os.Signal
+		line    string
+	}{
+		"SIGHUP":             {[]os.Signal{syscall.SIGHUP, syscall.SIGHUP}, "msg=serving"},
+		// It may have reached the process and not the channel yet: then it serves for a moment, and leaves.
+		"SIGTERM":            {[]os.Signal{syscall.SIGTERM}, "left"},
+		"SIGHUP and SIGTERM": {[]os.Signal{syscall.SIGHUP, syscall.SIGTERM}, "left"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTown(t)
+			defer w.close()
+			_, path := w.file(t)
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			os.Remove(path)
+			if err := syscall.Mkfifo(path, 0o600); err != nil {
+				t.Skip("no fifo here")
+			}
+			program, err := os.Executable()
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out syncBuffer
+			cmd := exec.Command(program, "serve", "--config", path)
+			cmd.Env, cmd.Stderr = append(os.Environ(), asProgram+"=1"), &out
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			defer cmd.Process.Kill()
+			pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the process has it open to read
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, s := range tc.signals {
+				cmd.Process.Signal(s)
+			}
+			for end := time.Now().Add(5 * time.Second); pending(cmd.Process.Pid) && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			os.Remove(path) // for reading it again
+			writeFile(t, path, string(text))
+			pipe.Write(text)
+			pipe.Close()
+			ended := make(chan error, 1)
+			go func() { ended <- cmd.Wait() }()
+			for end := time.Now().Add(10 * time.Second); !strings.Contains(out.String(), tc.line); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("no line with %q in\n%s", tc.line, out.String())
+				}
+			}
+			cmd.Process.Signal(syscall.SIGTERM)
+			if err := <-ended; err != nil {
+				t.Errorf("ended with %v\n%s", err, out.String())
+			}
+		})
+	}
+}
+
+// pending tells whether a signal that was sent to a process still waits to be taken.
+func pending(pid int) bool {
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(raw)) {
+		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":")
+		if (name == "SigPnd" || name == "ShdPnd") && strings.Trim(mask, "\t0") != "" {
+			return true
+		}
+	}
+	return false
+}
+
 func TestStartFails(t *testing.T) {
 	w := newTown(t)
 	defer w.close()
