--- a/cmd/ottershed/serve_test.go
+++ b/cmd/ottershed/serve_test.go
@@ -412,7 +412,7 @@
 		signals []os.Signal
 		line    string
 	}{
-		"SIGHUP":             {[]os.Signal{syscall.SIGHUP, syscall.SIGHUP}, "msg=serving"},
+		"SIGHUP": {[]os.Signal{syscall.SIGHUP, syscall.SIGHUP}, "msg=serving"},
 		// It may have reached the process and not the channel yet: then it serves for a moment, and leaves.
 		"SIGTERM":            {[]os.Signal{syscall.SIGTERM}, "left"},
 		"SIGHUP and SIGTERM": {[]os.Signal{syscall.SIGHUP, syscall.SIGTERM}, "left"},
