--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -307,7 +307,7 @@
 	}
 	last := time.Now().Add(clock.Span(f.network.LongestTimeout + f.network.AnswerSlack))
 	for f.gate.clear() > 0 && time.Now().Before(last) {
-		time.Sleep(clock.Span(f.network.AnswerSlack) / 4)
+		time.Sleep(silence / 10) // many times in a client's moment
 	}
 	// Danger: with nothing left to answer, the server may close before it has seen that its listener is closed, closes that
 	// again, and a marshal that left in good order would end as one that failed.
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -58,8 +58,12 @@
 	return c
 }
 
-// restPart is of the time in which a connection must come up: an answer that has begun crosses the same network.
-const restPart = 4
+// restPart is of the time in which a connection must come up: an answer that has begun crosses the same network. Danger:
+// where that time is a few ms, a node's answer in two pieces would be given up; all time limits have slack on sockets.
+const (
+	restPart = 4
+	slack    = 50 * time.Millisecond
+)
 
 // lateAnswer is how late a second answer to a request may come on its connection ("some milliseconds", by the operators'
 // page on days at full size). Danger: on a connection that is used again at once it would be taken for the answer to the
@@ -81,7 +85,7 @@
 // NewPool makes an empty pool that holds so many connections at most.
 func NewPool(c *clock.Clock, n settings.Network, most int, log logrus.FieldLogger) *Pool {
 	longest := clock.Span(n.IdleAfter) / 2
-	rest := clock.Span(n.ConnectTimeout) / restPart
+	rest := max(clock.Span(n.ConnectTimeout)/restPart, slack)
 	return &Pool{clock: c, connect: clock.Span(n.ConnectTimeout), rest: rest, cool: min(rest, lateAnswer), most: most,
 		longest: longest, idle: longest, log: log, nodes: map[logic.NodeID]*node{},
 		dial: func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,19 @@
 	return s
 }
 
+// name reads a path group's name, which no other has.
+func (p *pairs) name(key string, taken map[string]bool) string {
+	s := p.text(key)
+	switch {
+	case s == "":
+		p.fail(key, "missing")
+	case taken[s]:
+		p.fail(key, fmt.Sprintf("%q is another's too", s))
+	}
+	taken[s] = true
+	return s
+}
+
 func (p *pairs) fail(key, why string) {
 	if p.err == nil {
 		p.err = fmt.Errorf("settings.%s: %s", key, why)
@@ -62,7 +75,7 @@
 // may reads a number that no rule depends on; absent, it is 0.
 func (p *pairs) may(key string) float64 {
 	if s, ok := p.get(key); ok {
-		return p.number(key, s, 0, math.MaxFloat64)
+		return p.number(key, s, 0, most)
 	}
 	return 0
 }
@@ -202,6 +215,7 @@
 	}
 	effects := map[string]logic.Effect{"safe": logic.Repeatable, "keyed": logic.Tagged, "unsafe": logic.Mutating}
 	scopes := map[string]logic.Scope{"all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeCell}
+	names := map[string]bool{}
 	for i := 0; i < int(p.need("services.count", 0, 1e4)); i++ {
 		at := fmt.Sprintf("services.%d.", i)
 		effect, ok := effects[p.text(at+"idempotency")]
@@ -212,14 +226,18 @@
 		if !ok && effect == logic.Tagged {
 			p.fail(at+"group", "missing or unknown")
 		}
-		g := logic.PathGroup{Name: logic.GroupName(p.text(at + "name")), Target: p.need(at+"aim-ms", 0, most),
+		g := logic.PathGroup{Name: logic.GroupName(p.name(at+"name", names)), Target: p.need(at+"aim-ms", 0, most),
 			Effect: effect, Scope: scope}
 		if effect == logic.Tagged {
 			g.Remember = p.need(at+"window-ms", 0, most)
 		}
 		s.Groups = append(s.Groups, g)
 	}
-	for i := 0; i < int(p.may("tenants.count")); i++ {
+	tenants := 0.0
+	if _, ok := p.get("tenants.count"); ok {
+		tenants = p.need("tenants.count", 0, 1e6)
+	}
+	for i := 0; i < int(tenants); i++ {
 		s.Tenants = append(s.Tenants, logic.TenantID(p.text(fmt.Sprintf("tenants.%d.name", i))))
 	}
 	return s, p.err
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -58,6 +58,8 @@
 		{"domain.caps", "0.1"}, {"domain.caps", "2,1,1"}, {"services.count", ""}, {"services.0.idempotency", "odd"},
 		{"services.1.group", ""}, {"services.1.window-ms", ""}, {"services.1.aim-ms", "-1"}, {"limits.conn-idle-ms", ""},
 		{"limits.connect-timeout-ms", "0"}, {"services.1.give-up-ms", "NaN"}, {"charges.probe", "-1"},
+		{"services.0.name", ""}, {"services.1.name", "read"}, {"tenants.count", "1e9"}, {"rules.drain-grace-ms", "1e300"},
+		{"domain.on-votes", "1e300"}, {"domain.vote-wait-ms", "+Inf"},
 	} {
 		t.Run(tc.key+"="+tc.value, func(t *testing.T) {
 			v := maps.Clone(flat(t))
