--- a/internal/marshal/core_test.go
+++ b/internal/marshal/core_test.go
@@ -197,11 +197,13 @@
 		did  string
 		left int
 	}{
-		"same":        {List{How: logic.Changes, Entries: []Entry{entry("a", "a:1", logic.Up)}}, "", 2},
-		"address":     {List{How: logic.Changes, Entries: []Entry{entry("a", "a:2", logic.Up)}}, "moved a a:2", 2},
-		"started":     {List{How: logic.Changes, Entries: []Entry{{logic.Node{ID: "a", Started: 7}, "a:1"}}}, "moved a a:1", 2},
-		"build":       {List{How: logic.Changes, Entries: []Entry{{logic.Node{ID: "a", Build: 7}, "a:1"}}}, "moved a a:1", 2},
-		"drains":      {List{How: logic.Changes, Entries: []Entry{entry("a", "a:1", logic.Draining)}}, "moved a ", 2},
+		"same":    {List{How: logic.Changes, Entries: []Entry{entry("a", "a:1", logic.Up)}}, "", 2},
+		"address": {List{How: logic.Changes, Entries: []Entry{entry("a", "a:2", logic.Up)}}, "moved a a:2", 2},
+		"started": {List{How: logic.Changes, Entries: []Entry{{logic.Node{ID: "a", Started: 7}, "a:1"}}}, "moved a a:1", 2},
+		"build":   {List{How: logic.Changes, Entries: []Entry{{logic.Node{ID: "a", Build: 7}, "a:1"}}}, "moved a a:1", 2},
+		"drains":  {List{How: logic.Changes, Entries: []Entry{entry("a", "a:1", logic.Draining)}}, "moved a ", 2},
+		"twice": {List{How: logic.Changes, Entries: []Entry{entry("a", "a:2", logic.Up), entry("a", "a:2", logic.Draining)}},
+			"moved a a:2,moved a ", 2},
 		"gone":        {List{How: logic.Changes, Entries: []Entry{entry("a", "", logic.Removed)}}, "moved a ", 1},
 		"gone twice":  {List{How: logic.Changes, Entries: []Entry{entry("c", "", logic.Removed)}}, "", 2},
 		"new":         {List{How: logic.Changes, Entries: []Entry{entry("c", "c:1", logic.Up)}}, "moved c c:1", 3},
