--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -73,14 +74,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			calls, told := make(chan string, 100), make(chan marshal.List, 100)
+			var mu sync.Mutex // calls may come beside each other
 			n := 0
-			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				answer := ""
+			next := func(call string) (answer string) {
+				mu.Lock()
+				defer mu.Unlock()
 				if n < len(steps) {
 					answer = steps[n].answer
-					calls <- r.URL.String()
+					calls <- call
 				}
-				switch n++; answer {
+				n++
+				return answer
+			}
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch answer := next(r.URL.String()); answer {
 				case "500":
 					w.WriteHeader(500)
 				case "", "hang":
