--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -126,7 +126,7 @@
 // settings of the marshals: three marshals' figures from the documented example, with times that suit loopback.
 const marshalSettings = `{"n-instances":%d,"zone":"z","limits":{"most-tries":5,"cancel":true,"retry-after":true,
 "max-retry-after-ms":50,"conn-idle-ms":30000,"connect-timeout-ms":250},"rules":{"cold-from":0.35,"warm-after-ms":1000,
-"overload-factor":3,"overload-for-ms":1000,"answer-slack-ms":20},"domain":{"caps":[0.3,1],"waves":[0.3,1],"uncounted":1,
+"overload-factor":3,"overload-for-ms":1000,"answer-slack-ms":20,"drain-grace-ms":250},"domain":{"caps":[0.3,1],"waves":[0.3,1],"uncounted":1,
 "guarded-stages":0,"keys-stay":false,"on-votes":1,"votes-to-revert":1,"vote-wait-ms":300,"vote-ttl-ms":3000},"services":[
 {"name":"read","aim-ms":200,"give-up-ms":1000,"idempotency":"safe"},
 {"name":"send-text","aim-ms":200,"give-up-ms":1000,"idempotency":"unsafe"}]}`
