--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -456,3 +456,34 @@
 		t.Errorf("%d calls open at once, want %d or hardly more", most.Load(), beside)
 	}
 }
+
+// Of two calls beside each other the first answer counts, and what the other would tell is never heard: an older list does
+// not come after a newer one.
+func TestTwoAnswers(t *testing.T) {
+	told, second := make(chan marshal.List, 10), make(chan struct{})
+	var calls atomic.Int64
+	gone := make(chan struct{})
+	f := New(agent(t, func(r *http.Request) string {
+		switch calls.Add(1) {
+		case 1: // slow, and older
+			<-second
+			select {
+			case <-r.Context().Done():
+				close(gone)
+			case <-time.After(10 * time.Second):
+			}
+			return list(41, true, "Ready")
+		case 2:
+			close(second)
+			return list(42, true, "Terminating")
+		case 3:
+			<-gone
+			return list(43, false, "Gone")
+		}
+		return ""
+	}), nil, settings.Network{DrainGrace: 100}, func(l marshal.List) { told <- l }, quiet())
+	f.answer, f.wait = 20*time.Second, 20*time.Second
+	follow(t, f)
+	expect(t, told, 42)
+	expect(t, told, 43)
+}
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -524,3 +524,63 @@
 		t.Errorf("with none used: %v", p.idle)
 	}
 }
+
+// narrow is a node that takes a part of a request only: its buffer and the marshal's are small.
+func narrow(t *testing.T, p *Pool) *net.TCPListener {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	dial := p.dial
+	p.dial = func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+		c, err := dial(ctx, d, address)
+		if err == nil {
+			err = c.(*net.TCPConn).SetWriteBuffer(4096)
+		}
+		return c, err
+	}
+	return l.(*net.TCPListener)
+}
+
+// A request of which a part is written when the node resets, the forward is recalled or its time is over has never run,
+// and the connection with that part on it is closed.
+func TestPartWritten(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end  func(node *net.TCPConn, recall func())
+		want logic.Ending
+	}{
+		"the node resets": {func(node *net.TCPConn, _ func()) { node.SetLinger(0); node.Close() }, logic.Unreachable},
+		"recalled":        {func(_ *net.TCPConn, recall func()) { recall() }, logic.NeverSent},
+		"time is over":    {func(*net.TCPConn, func()) {}, logic.Unreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(4)
+			l := narrow(t, p)
+			address, ends := l.Addr().String(), make(chan marshal.End, 1)
+			p.Moved("n", address)
+			recall := p.Forward(marshal.Forward{Node: "n", Address: address, Until: p.clock.Now() + 500,
+				Request: &marshal.Request{Method: "POST", URI: "/pay/x", Host: "h", Body: make([]byte, 1<<20)},
+				Ended:   func(e marshal.End) { ends <- e }})
+			node, err := l.AcceptTCP()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer node.Close()
+			head := make([]byte, 16)
+			if _, err := io.ReadFull(node, head); err != nil { // a part has come
+				t.Fatal(err)
+			}
+			tc.end(node, recall)
+			if end := <-ends; end.Ending != tc.want || p.count() != 0 {
+				t.Errorf("ended %d, want %d; %d connections held", end.Ending, tc.want, p.count())
+			}
+			if rest, _ := io.ReadAll(node); len(rest) >= 1<<20 {
+				t.Error("the whole request came")
+			}
+		})
+	}
+}
