--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,14 +30,28 @@
 func (f fake) Gone(h *marshal.Hit) { f.gone <- h }
 
 func start(t *testing.T, most int) (*Front, fake, string) {
+	l := listen(t)
+	f, m := serve(t, l, most, nil)
+	return f, m, l.Addr().String()
+}
+
+func listen(t *testing.T) *net.TCPListener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.(*net.TCPListener)
+}
+
+// serve starts a front on l, prepared by the test.
+func serve(t *testing.T, l net.Listener, most int, prepare func(*Front)) (*Front, fake) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m := fake{make(chan *marshal.Hit, 100), make(chan *marshal.Hit, 100)}
 	f := New(m, clock.New(), logic.Settings{MaxComeBack: 500, Groups: []logic.PathGroup{{Name: "read", Effect: logic.Repeatable},
 		{Name: "mark", Effect: logic.Tagged}, {Name: "pay"}}, Tenants: []logic.TenantID{"", "acme"}}, settings.Network{LongestTimeout: 2000, AnswerSlack: 20}, most, log)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	if prepare != nil {
+		prepare(f)
 	}
 	served := make(chan error, 1)
 	go func() { served <- f.Serve(l) }()
@@ -47,7 +61,7 @@
 			t.Error(err)
 		}
 	})
-	return f, m, l.Addr().String()
+	return f, m
 }
 
 // client is one connection.
@@ -442,35 +456,6 @@
 	return g.TCPListener.Accept()
 }
 
-// serve starts a front on l, prepared by the test.
-func serve(t *testing.T, l net.Listener, prepare func(*Front)) (*Front, fake) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	m := fake{make(chan *marshal.Hit, 100), make(chan *marshal.Hit, 100)}
-	f := New(m, clock.New(), logic.Settings{MaxComeBack: 500, Groups: []logic.PathGroup{{Name: "read", Effect: logic.Repeatable}}},
-		settings.Network{LongestTimeout: 2000, AnswerSlack: 20}, 10, log)
-	if prepare != nil {
-		prepare(f)
-	}
-	served := make(chan error, 1)
-	go func() { served <- f.Serve(l) }()
-	t.Cleanup(func() {
-		f.server.Close()
-		if err := <-served; err != nil {
-			t.Error(err)
-		}
-	})
-	return f, m
-}
-
-func listen(t *testing.T) *net.TCPListener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return l.(*net.TCPListener)
-}
-
 // leave has the front leave at once, and waits until it accepts nothing more or has begun to.
 func leave(f *Front) chan error {
 	left := make(chan error, 1)
@@ -484,7 +469,7 @@
 // A hit on a connection that still waits in the system's queue when the marshal ends accepting gets its answer.
 func TestLeaveWithQueue(t *testing.T) {
 	l := gated{listen(t), make(chan struct{})}
-	f, _ := serve(t, l, nil)
+	f, _ := serve(t, l, 10, nil)
 	clients := []*client{dial(t, l.Addr().String()), dial(t, l.Addr().String()), dial(t, l.Addr().String())}
 	for _, c := range clients {
 		c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
@@ -505,7 +490,7 @@
 func TestLeaveBeforeCounted(t *testing.T) {
 	came, let := make(chan struct{}), make(chan struct{})
 	l := listen(t)
-	f, _ := serve(t, l, func(f *Front) {
+	f, _ := serve(t, l, 10, func(f *Front) {
 		f.server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { // the server's last step before
 			close(came)
 			<-let
@@ -532,7 +517,7 @@
 // has its moment; one whose time is long gets its answer.
 func TestLeaveHalfway(t *testing.T) {
 	l := listen(t)
-	f, m := serve(t, l, nil)
+	f, m := serve(t, l, 10, nil)
 	half, long := dial(t, l.Addr().String()), dial(t, l.Addr().String())
 	long.send("GET /read/1", "X-Time-Left: 2\r\n", "")
 	hit := <-m.hits
@@ -569,7 +554,7 @@
 // A new connection on which nothing has come has its moment, also when the marshal leaves.
 func TestMoment(t *testing.T) {
 	l := listen(t)
-	f, _ := serve(t, l, nil)
+	f, _ := serve(t, l, 10, nil)
 	dial(t, l.Addr().String())
 	for f.gate.count() < 1 {
 		time.Sleep(time.Millisecond)
@@ -623,7 +608,7 @@
 // Until it is ready a marshal says no and bounces hits, with when to come back; none reaches the module.
 func TestHold(t *testing.T) {
 	l := listen(t)
-	f, m := serve(t, l, (*Front).Hold)
+	f, m := serve(t, l, 10, (*Front).Hold)
 	ask := func(line string) *http.Response {
 		c := dial(t, l.Addr().String())
 		c.send(line, "X-Time-Left: 1\r\n", "")
