A node that is no longer listed keeps no idle connections to be counted twice

Pool.Moved closed the idle connections of the one before and left them on it; Pool.ended closed them again, and took them off held a second time.

Change: Moved, CloseIdle and ended closed a node's idle connections each in their own way; one method does, and forgets them.

TestEndedAfterMoved: held -1 without. internal/nodes with the race detector, twice: clean.

--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -100,7 +100,7 @@
 	defer p.mu.Unlock()
 	if n := p.nodes[id]; n != nil {
 		n.unsent.over = true
-		p.closeAll(n.idle)
+		p.empty(n)
 	}
 	if delete(p.nodes, id); address != "" {
 		p.nodes[id] = &node{address: address, unsent: &epoch{}}
@@ -147,11 +147,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := p.nodes[id]; n != nil {
-		p.closeAll(n.idle)
-		n.idle = nil
+		p.empty(n)
 	}
 }
 
+// empty closes a node's idle connections; the lock is held. Danger: kept on a node that is no longer listed they would be
+// closed and counted once more when its last forward ends, and the pool would hold more than its most.
+func (p *Pool) empty(n *node) {
+	p.closeAll(n.idle)
+	n.idle = nil
+}
+
 // closeAll drops idle connections; the lock is held.
 func (p *Pool) closeAll(conns []*conn) {
 	for _, c := range conns {
@@ -229,8 +235,7 @@
 	case ending <= logic.NodeFull || ending == logic.Spoilt:
 		n.heard = time.Now()
 	case n.heard.Before(began):
-		p.closeAll(n.idle)
-		n.idle = nil
+		p.empty(n)
 	}
 }
 
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -384,6 +384,34 @@
 	}
 }
 
+// A forward that ends without an answer when its node is another by now gives back what it holds and nothing else: the
+// idle connections to the node before were closed and counted as the list told it.
+func TestEndedAfterMoved(t *testing.T) {
+	came, held := make(chan struct{}), make(chan struct{})
+	defer close(held)
+	s := newStand(t, func(c net.Conn, r *http.Request) {
+		if r.Method == "GET" {
+			say(ok)(c, r)
+			return
+		}
+		close(came)
+		<-held
+	})
+	p := newPool(4)
+	address := s.Addr().String()
+	p.forward(address, "GET", 1000, nil) // stays idle; it has not rested, so the next one opens another
+	p.cool = time.Hour
+	ends := make(chan marshal.End, 1)
+	recall := p.Forward(marshal.Forward{Node: "n", Address: address, Until: p.clock.Now() + 1000,
+		Request: &marshal.Request{Method: "POST", URI: "/", Host: "h"}, Ended: func(e marshal.End) { ends <- e }})
+	<-came
+	p.Moved("n", address)
+	recall()
+	if end := <-ends; end.Ending != logic.Recalled || p.count() != 0 {
+		t.Errorf("ended %d, held %d", end.Ending, p.count())
+	}
+}
+
 // A pool that has ended keeps no connection of a forward that is answered later, and opens none.
 func TestEnd(t *testing.T) {
 	came, held := make(chan struct{}, 9), make(chan struct{})
