A forward that is called off, or comes too late for its mark, is never sent

Cause, by reading Pool.run: a forward's end was left to context.AfterFunc, which runs on a goroutine of its own, and to the dialer. Called off while its connection came up, or before its goroutine ran, it was written all the same (the hit had its final answer by then, and it was taken for one that may have run). And the module looked at the time for which nodes remember a tagged hit's mark when it decided; a connection that came up late carried the repeat after that time, when it is no repeat any more and runs a second time.

Change: Pool.due is asked before each first byte: called off, another machine or cap, past the last moment.

Seen to fail without: TestNotSentAnyMore in all four cases (called off: written, ending 6, with GOMAXPROCS 1 and 6 alike), TestNotUpInTimeToSend (ending 4, which counts against the node), TestSendBy of the core. Ruled out: that the deadline of the hit holds it up, for SetDeadline comes before AfterFunc and is not over.

--- a/internal/marshal/core.go
+++ b/internal/marshal/core.go
@@ -390,6 +390,6 @@
 		until = min(until, now+a.Timeout)
 	}
 	o.forwards[no].recall = c.nodes.Forward(Forward{Node: a.Node, Address: node.Address,
-		Request: o.hit.Request, Until: until,
+		Request: o.hit.Request, SendBy: a.SendBy, Until: until,
 		Ended: func(e End) { c.post(ended{a.Hit, no, e}) }})
 }
--- a/internal/marshal/core_test.go
+++ b/internal/marshal/core_test.go
@@ -178,6 +178,15 @@
 	}
 }
 
+// The last moment to send a forward reaches who sends it.
+func TestSendBy(t *testing.T) {
+	r := newRig()
+	r.hit(logic.Forward{Hit: 1, Node: "a", SendBy: 1200}, logic.Forward{Hit: 1, Node: "b"})
+	if one, two := r.sent[0].SendBy, r.sent[1].SendBy; one != 1200 || two != 0 {
+		t.Errorf("to be sent by %g and %g", one, two)
+	}
+}
+
 // A client that goes away ends its hit, and late endings of its forwards still reach the module.
 func TestGone(t *testing.T) {
 	r := newRig()
--- a/internal/marshal/messages.go
+++ b/internal/marshal/messages.go
@@ -51,6 +51,7 @@
 	Node    logic.NodeID
 	Address string
 	Request *Request
+	SendBy  logic.Millis // not sent from then on; 0: sent as long as Until
 	Until   logic.Millis // no answer by then: timed out
 	Ended   func(End)    // called exactly once, from any goroutine; the connection is given back before
 }
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -326,6 +326,9 @@
 func (p *Pool) run(ctx context.Context, f marshal.Forward, to aim) marshal.End {
 	until := p.clock.Time(f.Until)
 	for {
+		if !p.due(ctx, f, to, until) {
+			return marshal.End{Ending: logic.NeverSent}
+		}
 		c := p.take(to)
 		kept, idle := c != nil, time.Duration(0)
 		if kept {
@@ -362,12 +365,26 @@
 	}
 }
 
+// due tells whether a forward may still be sent. Danger: its connection may come up in the moment in which it is called
+// off, and the deadline that this sets is not set yet; sent then, it would follow the hit's final answer.
+func (p *Pool) due(ctx context.Context, f marshal.Forward, to aim, until time.Time) bool {
+	return ctx.Err() == nil && p.stands(to) && time.Now().Before(p.sendBy(f, until))
+}
+
+// sendBy is when a forward that is not sent yet is given up.
+func (p *Pool) sendBy(f marshal.Forward, until time.Time) time.Time {
+	if by := p.clock.Time(f.SendBy); f.SendBy > 0 && by.Before(until) {
+		return by
+	}
+	return until
+}
+
 // open makes a connection; without one it tells how the forward has ended.
 func (p *Pool) open(ctx context.Context, f marshal.Forward, to aim, until time.Time) (*conn, logic.Ending) {
-	if !p.stands(to) || !p.reserve() {
+	if !p.reserve() {
 		return nil, logic.NeverSent
 	}
-	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: p.connect, Deadline: p.sendBy(f, until), KeepAlive: -1}
 	raw, err := p.dial(ctx, &dialer, f.Address)
 	p.mu.Lock()
 	if err == nil {
@@ -376,15 +393,15 @@
 		p.done.Refused++
 	}
 	p.mu.Unlock()
+	due := p.due(ctx, f, to, until) // once more, for a list may have come while it came up
 	switch {
-	case err == nil && p.stands(to): // once more, for a list may have come while it came up
+	case err == nil && due:
 		return newConn(raw), 0
 	case err == nil:
 		raw.Close()
 	}
 	p.release()
-	if err == nil || !p.stands(to) || ctx.Err() != nil || !time.Now().Before(until) ||
-		errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) { // which says nothing of the node
+	if !due || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) { // which says nothing of the node
 		return nil, logic.NeverSent
 	}
 	return nil, logic.Unreachable
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -372,6 +372,63 @@
 	}
 }
 
+// A forward that is called off, or whose last moment to be sent passes, before its first byte is out is never sent: the
+// hit may have its final answer by then, or the nodes may have forgotten the forward that it repeats.
+func TestNotSentAnyMore(t *testing.T) {
+	for name, over := range map[string]func(recall func(), f *marshal.Forward, p *Pool){
+		"called off": func(recall func(), _ *marshal.Forward, _ *Pool) { recall() },
+		"too late": func(_ func(), f *marshal.Forward, p *Pool) {
+			for p.clock.Now() < f.SendBy {
+				time.Sleep(time.Millisecond)
+			}
+		},
+	} {
+		for _, when := range []string{"while it is dialed", "before it begins"} {
+			t.Run(name+" "+when, func(t *testing.T) {
+				s, p := newStand(t, say(ok)), newPool(4)
+				address := s.Addr().String()
+				p.forward(address, "GET", 1000, nil)
+				requests, to := s.requests.Load(), p.aimed("n", address)
+				ctx, recall := context.WithCancel(t.Context())
+				defer recall()
+				now := p.clock.Now()
+				f := marshal.Forward{Node: "n", Address: address, SendBy: now + 20, Until: now + 1000,
+					Request: &marshal.Request{Method: "POST", URI: "/", Host: "h"}}
+				if when == "before it begins" {
+					p.rested("n")
+					over(recall, &f, p)
+				} else {
+					p.cool = time.Hour // what is idle can't be taken
+					dial := p.dial
+					p.dial = func(_ context.Context, d *net.Dialer, to string) (net.Conn, error) {
+						c, err := dial(t.Context(), d, to) // it is up as the end comes
+						over(recall, &f, p)
+						return c, err
+					}
+				}
+				if end := p.run(ctx, f, to); end.Ending != logic.NeverSent || s.requests.Load() != requests {
+					t.Errorf("ended %d, sent %d times", end.Ending, s.requests.Load()-requests)
+				}
+				if p.count() != 1 {
+					t.Errorf("%d connections held, want the idle one", p.count())
+				}
+			})
+		}
+	}
+}
+
+// A connection that doesn't come up by the last moment to send says nothing of the node.
+func TestNotUpInTimeToSend(t *testing.T) {
+	p, address := newPool(4), never(t)
+	p.Moved("n", address)
+	now := p.clock.Now()
+	end := p.run(t.Context(), marshal.Forward{Node: "n", Address: address, SendBy: now + 20, Until: now + 1000,
+		Request: &marshal.Request{Method: "POST", URI: "/", Host: "h"}}, p.aimed("n", address))
+	if took := p.clock.Now() - now; end.Ending != logic.NeverSent || took > 90 || p.count() != 0 {
+		t.Errorf("ended %d after %.0f ms, %d held", end.Ending, took, p.count())
+	}
+}
+
 // A connection to the machine that was the node before is not kept for the one that is it now, at the same address.
 func TestGivenBackToAnother(t *testing.T) {
 	came, held := make(chan struct{}), make(chan struct{})
--- a/logic/api.go
+++ b/logic/api.go
@@ -295,6 +295,7 @@
 		Hit     HitID
 		Node    NodeID
 		Timeout Millis // 0: as long as the client waits
+		SendBy  Millis // not sent from then on; 0: as long as the client waits
 	}
 	Bounce struct {
 		Hit      HitID
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -230,11 +230,11 @@
 		h.out > 0 && (!s.MayCopy || h.out > 1) {
 		return false
 	}
-	for _, f := range h.forwards {
-		if f.ran && (h.Effect == Mutating || h.Effect == Tagged && (m.now >= f.at+h.Remember-2*s.Granularity ||
+	// All further forwards of a tagged hit keep to the time and place of the first that may have run.
+	if f := h.first(); f != nil && (h.Effect == Mutating || h.Effect == Tagged &&
+		(m.now >= f.at+h.Remember-2*s.Granularity ||
 			h.Scope != ScopeAll && f.Zone != n.Zone || h.Scope == ScopeCell && f.Cell != n.Cell)) {
-			return false
-		}
+		return false
 	}
 	if trial, stage, cap := m.trial(n.Build); trial &&
 		(cap <= 0 || *m.left(h) < 1 || stage < s.Guarded && h.Effect != Repeatable) {
@@ -268,6 +268,10 @@
 	if n.lookAt, h.looks = 0, 0; n.out == 0 {
 		n.since = m.now
 	}
+	f := Forward{Hit: h.id, Node: n.ID}
+	if was := h.first(); was != nil && h.Effect == Tagged { // Danger: its connection may come up when the nodes
+		f.SendBy = was.at + h.Remember - 2*m.set.Granularity // have forgotten the first, and it would run again
+	}
 	n.out, h.out, m.out = n.out+1, h.out+1, m.out+1
 	h.forwards = append(h.forwards, forward{node: n, at: m.now, out: true, ran: true})
 	if trial, _, _ := m.trial(n.Build); trial {
@@ -276,7 +280,6 @@
 	if m.warmth(n) < 1 {
 		n.budget--
 	}
-	f := Forward{Hit: h.id, Node: n.ID}
 	if !m.set.MayCancel && h.Effect != Mutating {
 		f.Timeout = h.Target
 	}
@@ -491,10 +494,7 @@
 
 // risk is the chance that this hit fails or misses its target latency there, and the price of crossing.
 func (m *Marshal) risk(h *hit, n *node) float64 {
-	t := n.ans * float64(n.out+1)
-	if n.out > 0 {
-		t = max(t, m.now-n.since)
-	}
+	t := max(n.ans*float64(n.out+1), (m.now-n.since)*float64(min(1, n.out)))
 	if m.looked(n) {
 		t = m.least * n.look
 	}
@@ -542,7 +542,6 @@
 	if units > 0 { // with only cold nodes left, as last seen
 		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/units/m.period - m.rate)
 	}
-	m.delivered = 0
 	m.delivered, m.intake = 0, m.intake*(1-m.period/m.set.WarmAfter)
 	m.least *= 1 + m.period/m.set.WarmAfter/groupSize // creeps up, as the paces of nodes may
 	// Danger: by answers alone a thin marshal would win back what it gave up in a moment only over many seconds.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -52,6 +52,41 @@
 	}
 }
 
+// A further forward of a tagged hit that may have run is bound to be sent while the nodes remember the first; all others as
+// long as the client waits.
+func TestSendBy(t *testing.T) {
+	for _, c := range []struct {
+		group GroupName
+		ends  []Ending // of the forwards before
+		want  Millis   // after the first forward; 0: not bound
+	}{
+		{"mark", nil, 0},
+		{"mark", []Ending{Unreachable}, 0},
+		{"mark", []Ending{Broken}, 990},
+		{"mark", []Ending{Broken, Broken}, 990},
+		{"mark", []Ending{Unreachable, Broken}, 1010}, // the second was sent 20 ms later
+		{"read", []Ending{Broken}, 0},
+		{"pay", []Ending{NodeFull}, 0},
+	} {
+		t.Run(fmt.Sprint(c.group, c.ends), func(t *testing.T) {
+			r := start(t, StageNews{Build: 8, Phase: Released, Stage: 2, Cap: 1}, nil)
+			h, _ := r.hit(c.group, "")
+			began := r.now
+			for i, how := range c.ends {
+				r.now += 20
+				r.end(h, i, how, 20)
+			}
+			if r.sent(h, len(c.ends)) == "" {
+				t.Fatal("no further forward")
+			}
+			last := r.acts[len(r.acts)-1].(Forward)
+			if want := c.want; want > 0 && last.SendBy != began+want || want == 0 && last.SendBy != 0 {
+				t.Errorf("to be sent by %g, want %g after the first", last.SendBy-began, want)
+			}
+		})
+	}
+}
+
 // Every hit that no node can take gets one answer, long before its own time is up, and nothing after it.
 func TestOneAnswer(t *testing.T) {
 	for _, c := range []struct {
--- a/logic/state.go
+++ b/logic/state.go
@@ -110,11 +110,17 @@
 	lookAt      Millis
 }
 
-// ran tells whether a forward of the hit may have run.
-func (h *hit) ran() bool {
-	return slices.ContainsFunc(h.forwards, func(f forward) bool { return f.ran })
+// first is the first forward of the hit that may have run; nil where none has.
+func (h *hit) first() *forward {
+	if i := slices.IndexFunc(h.forwards, func(f forward) bool { return f.ran }); i >= 0 {
+		return &h.forwards[i]
+	}
+	return nil
 }
 
+// ran tells whether a forward of the hit may have run.
+func (h *hit) ran() bool { return h.first() != nil }
+
 type forward struct {
 	*node
 	at              Millis
