Keys are read from hits: they stay with the build that has answered them

Change: the key passes to the module. And as the rule starts with the answer, what is not yet sent of the same key to earlier builds is called back then, for its connection may come up late.

Seen to fail without: TestKey (key ""), TestKeyAnswered (nothing unsent).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -169,7 +170,7 @@
 			return
 		}
 		defer f.release(id)
-		hit := &marshal.Hit{Group: group.Name, Tenant: logic.TenantID(r.Header.Get("X-Account")), Left: left,
+		hit := &marshal.Hit{Group: group.Name, Tenant: logic.TenantID(r.Header.Get("X-Account")), Key: key(r), Left: left,
 			Taken: taken, Retried: r.Header.Get("X-Repeat") == "1",
 			Request: &marshal.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body}}
 		r.Body = http.NoBody
@@ -177,6 +178,20 @@
 	}
 }
 
+// key is the subject of a hit, empty where it names none: "key" in the query. Danger: where keys stay with the build that
+// has answered them, a hit whose key is not read goes back to the earlier build.
+func key(r *http.Request) logic.Key {
+	for pair := range strings.SplitSeq(r.URL.RawQuery, "&") {
+		if name, text, _ := strings.Cut(pair, "="); name == "key" {
+			if plain, err := url.QueryUnescape(text); err == nil {
+				text = plain
+			}
+			return logic.Key(text)
+		}
+	}
+	return ""
+}
+
 // claim tells whether no open hit has this id. Danger: two with one id are copies of each other for a node.
 func (f *Front) claim(id string) bool {
 	f.mu.Lock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -191,6 +191,22 @@
 	}
 }
 
+// What a hit is about passes to the module, and stays in the request as it came.
+func TestKey(t *testing.T) {
+	_, m, address := start(t, 10)
+	c := dial(t, address)
+	for uri, want := range map[string]logic.Key{"/read/1": "", "/read?key=0001059dfba1f517": "0001059dfba1f517", "/read?a=1&key=b&key=c": "b",
+		"/read?key": "", "/read?monkey=x&key=%2f+y": "/ y", "/read?key=a;b": "a;b", "/read?key=%zz": "%zz"} {
+		c.send("GET "+uri, "X-Time-Left: 0.5\r\nX-Correlation-Id: c1\r\n", "")
+		h := <-m.hits
+		if h.Key != want || h.Request.URI != uri {
+			t.Errorf("%s: key %q, want %q; passed on as %s", uri, h.Key, want, h.Request.URI)
+		}
+		h.Answer(marshal.Answer{Kind: marshal.Bounced})
+		c.answer()
+	}
+}
+
 // An id is refused while a hit with it is open, and free again then.
 func TestOpenID(t *testing.T) {
 	f, m, address := start(t, 10)
--- a/internal/marshal/core.go
+++ b/internal/marshal/core.go
@@ -202,9 +202,27 @@
 	}
 	c.give(now, logic.ForwardEnded{Hit: msg.id, Ending: msg.end.Ending, Node: f.node, Forward: msg.no,
 		After: max(0, msg.end.At-f.at), HitEnded: o.answered, Load: msg.end.Load})
+	if msg.end.Ending == logic.Delivered && o.hit.Key != "" {
+		c.unsendKey(o.hit.Key, c.list[f.node].Build)
+	}
 	c.forget(msg.id, o)
 }
 
+// unsendKey calls back what was decided for a key, for builds before the one that has answered it now, and is not yet
+// sent. Danger: where keys stay with the newer build, a connection that comes up late would carry one back.
+func (c *core) unsendKey(key logic.Key, build logic.Build) {
+	for _, o := range c.open {
+		if o.hit.Key != key {
+			continue
+		}
+		for _, f := range o.forwards {
+			if e := c.list[f.node]; !f.over && e.Build < build && e.Address != "" {
+				c.nodes.Unsend(f.node)
+			}
+		}
+	}
+}
+
 // answer gives a hit its final answer, once.
 func (c *core) answer(now logic.Millis, o *open, a Answer) {
 	if !o.answered {
--- a/internal/marshal/core_test.go
+++ b/internal/marshal/core_test.go
@@ -265,6 +265,41 @@
 	}
 }
 
+// What a build has answered calls back what is not yet sent of the same key to nodes of earlier builds, and nothing else.
+func TestKeyAnswered(t *testing.T) {
+	for name, tc := range map[string]struct {
+		key    logic.Key
+		node   logic.NodeID
+		ending logic.Ending
+		did    string
+	}{
+		"newer build":   {"k", "new", logic.Delivered, "unsend old"},
+		"not answered":  {"k", "new", logic.NodeError, ""},
+		"another key":   {"l", "new", logic.Delivered, ""},
+		"no key":        {"", "new", logic.Delivered, ""},
+		"the same one":  {"k", "old", logic.Delivered, ""},
+		"earlier build": {"k", "oldest", logic.Delivered, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig()
+			r.tell(listTold{List{How: logic.Whole, Entries: []Entry{{logic.Node{ID: "oldest", Build: 6}, "x:1"},
+				{logic.Node{ID: "old", Build: 7}, "o:1"}, {logic.Node{ID: "new", Build: 8}, "n:1"}}}})
+			take := func(id logic.HitID, key logic.Key, node logic.NodeID) {
+				h := &Hit{Group: "read", Key: key, Left: 500, Taken: 990, Request: &Request{}, Answer: func(Answer) {}}
+				r.tell(hitTaken{h}, logic.Forward{Hit: id, Node: node})
+			}
+			take(1, "k", "old")
+			take(2, "", "oldest")
+			take(3, tc.key, tc.node)
+			r.did = nil
+			r.tell(ended{3, 0, End{Ending: tc.ending, At: 1001, Reply: &Reply{}}})
+			if got := strings.Join(r.did, "; "); got != tc.did {
+				t.Errorf("did %q, want %q", got, tc.did)
+			}
+		})
+	}
+}
+
 func TestTimers(t *testing.T) {
 	r := newRig()
 	r.hit(logic.WakeAt{Token: 2, At: 1020}, logic.WakeAt{Token: 1, At: 1010}, logic.WakeAt{Token: 3, At: 1030})
