A new process is ready within 6 s whatever discovery does; slow and huge lists are heard

Change: the wait is 5 s from the start of run; one call a second may stay open for 4 s, no further call goes out while an answer arrives, an overdue call ends alone, rest is the time without a byte. TestStartWhileDiscoveryIsSilent has a tighter deadline (half the wait; at the old one the wait's end would pass for a list). What it costs: a discovery that is silent for longer than 5 s from a start lets hits go by the configuration's list, before it was 9 s.

--- a/cmd/ottershed/serve.go
+++ b/cmd/ottershed/serve.go
@@ -31,9 +31,10 @@
 // grace is how long a marshal that leaves still accepts: the front layer goes on for a while.
 const grace = 600 * time.Millisecond
 
-// unheard is how long a marshal holds back hits at its start while discovery is silent: a platform wants nine in ten of
-// those that start anew ready within 10 s, and all within 30 s.
-const unheard = 9 * time.Second
+// unheard is how long a new process refuses hits while discovery has told no list. It stands on the figure that the
+// operators publish: nine in ten restarted marshals are ready within 10 s, within 6 s where the day ends sooner. The second
+// in between is for the process to come up, for a configuration that is still being written, and for a busy machine.
+const unheard = 5 * time.Second
 
 func serve(ctx context.Context, cmd *cli.Command) error {
 	// Danger: until here a signal ends the process as the system's default does. The configuration is read after it, so that
@@ -63,6 +64,7 @@
 // parts end in the order front, then all others.
 func run(ctx context.Context, cfg *config.Config, log logrus.FieldLogger, stop, hup <-chan os.Signal,
 	reread func() (*config.Config, error), every time.Duration) error {
+	began := time.Now()
 	select {
 	case sig := <-stop: // it came before anything could be taken
 		log.WithField("signal", sig.String()).Info("left before serving")
@@ -138,7 +140,7 @@
 	if !cfg.Settings.AskList {
 		f.Hold()
 		running.Go(func() {
-			limit := time.NewTimer(unheard)
+			limit := time.NewTimer(time.Until(began.Add(unheard))) // what is opened before this takes time too
 			defer limit.Stop()
 			select {
 			case <-ctx.Done():
--- a/cmd/ottershed/serve_test.go
+++ b/cmd/ottershed/serve_test.go
@@ -384,7 +384,8 @@
 		}
 	}
 	close(back)
-	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+	// By half of the wait: at its end the marshal is ready without a list.
+	for end := time.Now().Add(unheard / 2); ; time.Sleep(time.Millisecond) {
 		if status, _ := ask("/up", ""); status == http.StatusOK {
 			break
 		}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -26,16 +26,23 @@
 	answer  = time.Second            // for an answer that is due, where the agent has the list
 	queued  = 4                      // part of the time in which a marshal must ask: for an answer that waits its turn
 	pause   = 50 * time.Millisecond  // after a failure; the next call must come within 200 ms
-	rest    = 200 * time.Millisecond // for the rest of an answer that has begun: it stands ready at the agent
+	rest    = 200 * time.Millisecond // without a byte of an answer that has begun: it stands ready at the agent
 	hasty   = 4                      // part of the grace for drains: between calls to an agent that is silent
 	often   = 2                      // part of it: of a watch on pushed lists, see New
 	slack   = 50 * time.Millisecond  // by which time limits are longer on sockets: a grace of nothing, or none, counts as this
 	beside  = 16                     // calls that are open at once, half of the descriptors that are kept for such
+	staying = 4                      // of them, those that may stay open for all of patience
 	longest = 1 << 20                // bytes of a list
 )
 
-// errOverdue ends a watch that is not answered when it is due.
-var errOverdue = errors.New("watch not answered")
+// patience is how long a call for the whole list may take until its last byte, and the answer to a watch from its first
+// byte to its last. It is for an agent that answers late or slowly, whose list is never heard if each call is given up
+// before its answer has come. By the operators' page a change counts as told 6 s after discovery had it and could be
+// reached, and a new process goes by its configuration's list after 5 s (unheard in cmd/ottershed); this is below both.
+const patience = 4 * time.Second
+
+// errOverdue ends a call that is not answered in time.
+var errOverdue = errors.New("no answer in time")
 
 // errRefused is the answer of a service that has too many calls.
 var errRefused = errors.New("refused")
@@ -56,17 +63,18 @@
 	mu    sync.Mutex
 	spoke int // number of the newest watch that was told something
 
-	wait, answer, rest, pause time.Duration
-	hasten                    time.Duration // a call that is not answered by then gets another beside it; 0: none does
-	heard                     chan struct{} // closed as soon as a list has been told
-	once                      sync.Once
+	wait, answer, rest, patience, pause time.Duration
+	hasten                              time.Duration // a call that is not answered by then gets another beside it; 0: none does
+	decode                              func([]byte) (marshal.List, error)
+	heard                               chan struct{} // closed as soon as a list has been told
+	once                                sync.Once
 }
 
 // New makes a follower of the list at address; known is the list that is held, if any.
 func New(address string, known *marshal.List, n settings.Network, told func(marshal.List), log logrus.FieldLogger) *Follower {
 	f := &Follower{address: address, known: -1, asks: n.AskList, told: told, log: log, lookup: make(chan struct{}, 1),
 		again: make(chan struct{}, 1), moved: make(chan string), heard: make(chan struct{}), wait: wait, answer: answer,
-		rest: rest, pause: pause}
+		rest: rest, patience: patience, pause: pause, decode: Decode}
 	// Danger: a call given up while it waits its turn is carried out all the same. Where all marshals gave theirs up,
 	// the service would work for nobody.
 	if f.asks {
@@ -178,6 +186,48 @@
 	at     int64 // version that the list is told of; below 0: none
 	client *http.Client
 	speaks chan<- int
+	silent bool // the last calls failed or were not answered in time
+}
+
+// call is one request for the list, and how far its answer has come.
+type call struct {
+	url    string
+	begins time.Duration // limit until the answer begins
+	stalls time.Duration // limit without a byte of an answer that has begun; 0: none, for other calls go out beside it
+	ends   time.Duration // limit until the last byte
+
+	// Of a call for the whole list that others go out beside.
+	stays bool // it makes no room for others
+	sent  time.Time
+	end   context.CancelFunc
+	list  marshal.List
+	err   error
+
+	last     atomic.Int64 // when the last byte came, in ns from sent on; 0: none has
+	complete atomic.Bool  // all bytes have come, and the list is being decoded
+}
+
+// arriving tells whether the answer has begun and goes on: a byte came within this span, or it is being decoded.
+func (c *call) arriving(span time.Duration) bool {
+	last := time.Duration(c.last.Load())
+	return c.complete.Load() || last > 0 && time.Since(c.sent)-last < span
+}
+
+// progress notes that bytes have come.
+func (c *call) progress() { c.last.Store(max(1, int64(time.Since(c.sent)))) }
+
+// progressReader says each time that bytes have come.
+type progressReader struct {
+	io.Reader
+	progress func()
+}
+
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.progress()
+	}
+	return n, err
 }
 
 // run follows until ctx ends: the whole list first and after a failure, then watches. Each goes out as soon as the
@@ -186,7 +236,6 @@
 // after two that failed, waits until the module asks.
 func (f *watch) run(ctx context.Context) {
 	defer f.client.CloseIdleConnections()
-	silent := false
 	if f.asks && f.at >= 0 { // with a list in hand; else it is asked for at once
 		f.turn(ctx)
 	}
@@ -199,22 +248,20 @@
 			f.at = -1 // at once, for the agent may be back
 			continue
 		case err != nil:
-			if f.causes.New("silent") {
-				f.log.WithError(err).Warn("discovery silent or unreadable")
-			}
+			f.warnSilent(err)
 			if !f.asks {
 				f.at = -1
 			}
-			if f.asks && (silent || errors.Is(err, errRefused)) {
+			if f.asks && (f.silent || errors.Is(err, errRefused)) {
 				f.told(marshal.List{How: logic.ListRefused})
 				f.turn(ctx)
 			} else {
 				sleep(ctx, f.pause)
 			}
-			silent = true
+			f.silent = true
 			continue
-		case silent:
-			silent = false
+		case f.silent:
+			f.silent = false
 			f.log.WithFields(logrus.Fields{"index": list.Stamp, "nodes": len(list.Entries)}).
 				Info("discovery answers again")
 		}
@@ -233,41 +280,45 @@
 // next is what the next call brings: changes of the list that is held, else the whole list.
 func (f *watch) next(ctx context.Context) (marshal.List, error) {
 	if f.at >= 0 {
-		return f.get(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", f.base, f.at, f.wait.Milliseconds()))
+		begins := f.wait + cmp.Or(f.hasten, f.answer)
+		return f.get(ctx, &call{url: fmt.Sprintf("%s?since=%d&timeout_ms=%d", f.base, f.at, f.wait.Milliseconds()),
+			begins: begins, stalls: f.rest, ends: begins + f.patience})
 	}
 	if f.hasten == 0 {
-		return f.get(ctx, f.base)
+		return f.get(ctx, &call{url: f.base, begins: f.answer, stalls: f.rest, ends: f.answer + f.patience})
 	}
 	return f.whole(ctx)
 }
 
 // whole asks for the whole list, and again beside the calls that are not answered, until one is or the first fails.
-// Danger: an agent that is down for a while answers none of the calls that it took meanwhile, and what it holds from
+// An agent that is down for a while answers none of the calls that it took meanwhile, and what it holds from
 // its first moment back counts as told. Asked once a second, hundreds of marshals sent new hits to nodes that had begun
-// to drain during the outage, up to a second past the grace. The first stays open, for the agent may also be slow; of the
-// others the oldest makes room.
+// to drain during the outage, up to a second past the grace.
+//
+// The agent may also be slow. So once a second a call goes out that stays open for patience, while the others are given up
+// earlier and the oldest of them makes room; a call that is overdue ends alone. And while an answer arrives or is decoded,
+// no further call goes out: a huge list takes a slow machine longer than hasten, and asked for again and again beside it
+// none would be complete in time. An answer that stays a part holds the calls up for rest.
+//
+// All calls go out after the list told last, so none brings an older one; of their answers only the first counts.
 func (f *watch) whole(ctx context.Context) (marshal.List, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type call struct {
-		end  context.CancelFunc
-		list marshal.List
-		err  error
-	}
 	answered := make(chan *call)
 	again := time.NewTicker(f.hasten)
 	defer again.Stop()
+	stayed := time.Time{}         // when the newest call went out that stays open
 	for open := []*call(nil); ; { // the oldest first
-		if len(open) == beside {
-			open[1].end()
-			open = slices.Delete(open, 1, 2)
+		c := f.wholeCall(stayed)
+		if c.stays {
+			stayed = c.sent
 		}
-		of, end := context.WithCancel(ctx)
-		c := &call{end: end}
-		open = append(open, c)
+		open = append(makeRoom(open), c)
+		var of context.Context
+		of, c.end = context.WithCancel(ctx)
 		go func() {
-			defer end()
-			c.list, c.err = f.get(of, f.base)
+			defer c.end()
+			c.list, c.err = f.get(of, c)
 			select {
 			case answered <- c:
 			case <-ctx.Done():
@@ -276,11 +327,18 @@
 		for waits := true; waits; {
 			select {
 			case c := <-answered:
-				if c.err == nil || slices.Contains(open, c) { // else it has made room
-					return c.list, c.err
+				at := slices.Index(open, c)
+				switch {
+				case c.err == nil:
+					return c.list, nil
+				case at < 0: // it has made room
+				case errors.Is(c.err, errOverdue):
+					open = slices.Delete(open, at, at+1)
+				default:
+					return marshal.List{}, c.err
 				}
 			case <-again.C:
-				waits = false
+				waits = slices.ContainsFunc(open, func(c *call) bool { return c.arriving(f.rest) })
 			case <-ctx.Done():
 				return marshal.List{}, ctx.Err()
 			}
@@ -288,6 +346,37 @@
 	}
 }
 
+// wholeCall is the next call for the whole list; the newest that stays open went out at stayed. When the next of these is
+// due, the agent has been silent long enough to say so.
+func (f *watch) wholeCall(stayed time.Time) *call {
+	lasts := max(f.answer, f.patience)
+	c := &call{url: f.base, begins: f.answer, ends: lasts, sent: time.Now()}
+	if stayed.IsZero() || c.sent.Sub(stayed) >= lasts/staying {
+		c.stays, c.begins = true, lasts
+	}
+	if c.stays && !stayed.IsZero() {
+		f.warnSilent(errOverdue)
+		f.silent = true
+	}
+	return c
+}
+
+// makeRoom ends the oldest call that doesn't stay open if there are as many as may be.
+func makeRoom(open []*call) []*call {
+	if len(open) < beside {
+		return open
+	}
+	oldest := max(0, slices.IndexFunc(open, func(c *call) bool { return !c.stays }))
+	open[oldest].end()
+	return slices.Delete(open, oldest, oldest+1)
+}
+
+func (f *watch) warnSilent(err error) {
+	if f.causes.New("silent") {
+		f.log.WithError(err).Warn("discovery silent or unreadable")
+	}
+}
+
 // turn waits until the module has the next call go out.
 func (f *watch) turn(ctx context.Context) {
 	select {
@@ -331,33 +420,42 @@
 	return f.spoke
 }
 
-func (f *watch) get(ctx context.Context, url string) (marshal.List, error) {
-	limit, watching := f.answer, url != f.base
-	if watching && f.hasten > 0 {
-		limit = f.wait + f.hasten
-	} else if watching {
-		limit += f.wait
-	}
-	ctx, cancel := context.WithCancel(ctx)
+// get makes a call and keeps its limits; errOverdue says that it broke one.
+func (f *watch) get(ctx context.Context, c *call) (marshal.List, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, c.ends, errOverdue)
 	defer cancel()
-	var late atomic.Bool
-	overdue := time.AfterFunc(limit, func() { late.Store(true); cancel() })
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	overdue := time.AfterFunc(c.begins, func() { end(errOverdue) })
 	defer overdue.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	list, err := f.fetch(ctx, c, overdue)
+	if err != nil && errors.Is(context.Cause(ctx), errOverdue) {
+		err = errOverdue
+	}
+	return list, err
+}
+
+// fetch makes a call. It sets overdue, which ends it, anew each time that bytes of the answer come.
+func (f *watch) fetch(ctx context.Context, c *call, overdue *time.Timer) (marshal.List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return marshal.List{}, err
 	}
 	f.calls.Add(1)
 	res, err := f.client.Do(req)
-	switch {
-	case err != nil && watching && late.Load():
-		return marshal.List{}, errOverdue
-	case err != nil:
+	if err != nil {
 		return marshal.List{}, err
 	}
 	defer res.Body.Close()
-	// Danger: an answer that stays a part holds up the next call for as long as a whole watch.
-	overdue.Reset(f.rest)
+	// Without the limit of stalls, an answer that stays a part would hold up the next call for as long as a whole watch.
+	progress := func() {
+		c.progress()
+		if c.stalls > 0 {
+			overdue.Reset(c.stalls)
+		}
+	}
+	overdue.Stop()
+	progress()
 	switch res.StatusCode {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
@@ -365,9 +463,10 @@
 	default:
 		return marshal.List{}, fmt.Errorf("list: status %d", res.StatusCode)
 	}
-	raw, err := io.ReadAll(io.LimitReader(res.Body, longest))
+	raw, err := io.ReadAll(io.LimitReader(progressReader{res.Body, progress}, longest))
 	if err != nil {
 		return marshal.List{}, fmt.Errorf("list: %w", err)
 	}
-	return Decode(raw)
+	c.complete.Store(true)
+	return f.decode(raw)
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -487,3 +489,286 @@
 	expect(t, told, 42)
 	expect(t, told, 43)
 }
+
+// piece is a part of an answer, and how long it comes after the one before; the first after the call.
+type piece struct {
+	after time.Duration
+	text  string
+}
+
+// never is a piece that doesn't come.
+var never = piece{after: time.Hour}
+
+// evenly cuts an answer into so many pieces that come so long after each other.
+func evenly(after time.Duration, answer string, count int) (pieces []piece) {
+	for i := range count {
+		pieces = append(pieces, piece{after, answer[i*len(answer)/count : (i+1)*len(answer)/count]})
+	}
+	return pieces
+}
+
+// pieceBody is the body of an answer that comes in pieces.
+type pieceBody struct {
+	ctx    context.Context
+	pieces []piece
+}
+
+func (b *pieceBody) Read(p []byte) (int, error) {
+	if len(b.pieces) == 0 {
+		return 0, io.EOF
+	}
+	next := &b.pieces[0]
+	select {
+	case <-time.After(next.after):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	n := copy(p, next.text)
+	if next.after, next.text = 0, next.text[n:]; next.text == "" {
+		b.pieces = b.pieces[1:]
+	}
+	return n, nil
+}
+
+func (b *pieceBody) Close() error { return nil }
+
+// slowAgent is an agent in the time of synctest: for each call, numbered from 1, it says in which pieces the answer comes.
+type slowAgent struct {
+	answer func(call int, since string) []piece
+	mu     sync.Mutex
+	calls  []context.Context
+	most   int // calls that were open at once
+}
+
+// open is how many calls are; mu must be held.
+func (a *slowAgent) open() (n int) {
+	for _, call := range a.calls {
+		if call.Err() == nil {
+			n++
+		}
+	}
+	return n
+}
+
+var errBroken = errors.New("connection broken")
+
+func (a *slowAgent) RoundTrip(r *http.Request) (*http.Response, error) {
+	a.mu.Lock()
+	a.calls = append(a.calls, r.Context())
+	number := len(a.calls)
+	a.most = max(a.most, a.open())
+	a.mu.Unlock()
+	pieces := a.answer(number, r.URL.Query().Get("since"))
+	if len(pieces) == 0 {
+		return nil, errBroken
+	}
+	select {
+	case <-time.After(pieces[0].after):
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+	pieces[0].after = 0
+	return &http.Response{StatusCode: http.StatusOK, Body: &pieceBody{r.Context(), pieces}, Request: r}, nil
+}
+
+// slowWatch makes a watch on the agent at a grace for drains of 40 ms, so that calls follow each other every 10 ms.
+func slowWatch(a *slowAgent, told func(marshal.List)) *watch {
+	f := New("agent", nil, settings.Network{DrainGrace: 40}, told, quiet())
+	return &watch{Follower: f, number: 1, at: -1, base: "http://agent/discovery/hosts", client: &http.Client{Transport: a},
+		speaks: make(chan int, 1)}
+}
+
+// An agent that answers late, or slowly, is heard all the same within the time in which the operators count a change as told;
+// calls beside each other neither end nor drown the one whose answer comes.
+func TestSlowAgent(t *testing.T) {
+	const hasten = 10 * time.Millisecond // between calls
+	older, newer := list(41, true, "Ready"), list(42, true, "Terminating")
+	for name, tc := range map[string]struct {
+		answer   func(call int) []piece
+		stamp    int64
+		at       time.Duration // when the list is told
+		calls    int           // until then; 0: any
+		decoding time.Duration // how long each list takes
+	}{
+		"each answer three seconds late": {answer: func(int) []piece { return []piece{{3 * time.Second, older}} },
+			stamp: 41, at: 3 * time.Second},
+		"an outage, then half a second late": {answer: func(call int) []piece {
+			if call < 250 { // 2.5 s
+				return []piece{never}
+			}
+			return []piece{{500 * time.Millisecond, older}}
+		}, stamp: 41, at: 3500 * time.Millisecond},
+		"only the second that stays open is answered": {answer: func(call int) []piece {
+			if call == 101 {
+				return []piece{{3500 * time.Millisecond, older}} // when the first has been given up
+			}
+			return []piece{never}
+		}, stamp: 41, at: 4500 * time.Millisecond},
+		"in pieces for three seconds": {answer: func(int) []piece { return evenly(300*time.Millisecond, older, 10) },
+			stamp: 41, at: 3 * time.Second},
+		"steadily, longer than calls follow": {answer: func(call int) []piece {
+			if call == 1 {
+				return append([]piece{{after: 5 * time.Millisecond}}, evenly(100*time.Millisecond, older, 10)...)
+			}
+			return []piece{{0, newer}}
+		}, stamp: 41, at: 1005 * time.Millisecond, calls: 1},
+		"steadily, and too long": {answer: func(call int) []piece {
+			if call == 1 {
+				return append([]piece{{after: 5 * time.Millisecond}}, evenly(150*time.Millisecond, older, 30)...)
+			}
+			return []piece{{0, newer}}
+		}, stamp: 42, at: patience, calls: 2},
+		"only a part": {answer: func(call int) []piece {
+			if call == 1 {
+				return []piece{{5 * time.Millisecond, older[:20]}, never}
+			}
+			return []piece{{0, newer}}
+		}, stamp: 42, at: rest + hasten, calls: 2},
+		"a part, and the rest when another answer has come": {answer: func(call int) []piece {
+			if call == 1 {
+				return []piece{{5 * time.Millisecond, older[:20]}, {rest + hasten, older[20:]}}
+			}
+			return []piece{{0, newer}}
+		}, stamp: 42, at: rest + hasten, calls: 2},
+		"long to decode": {answer: func(call int) []piece { return []piece{{5 * time.Millisecond, older}} },
+			stamp: 41, at: 1005 * time.Millisecond, calls: 1, decoding: time.Second},
+		"slow to read and long to decode": {answer: func(call int) []piece {
+			return append([]piece{{after: 5 * time.Millisecond}}, evenly(390*time.Millisecond, older, 10)...)
+		}, stamp: 41, at: 4905 * time.Millisecond, decoding: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				told := make(chan marshal.List, 10)
+				a := &slowAgent{answer: func(call int, since string) []piece {
+					if since != "" {
+						return []piece{never}
+					}
+					return tc.answer(call)
+				}}
+				f := slowWatch(a, func(l marshal.List) {
+					select {
+					case told <- l:
+					default:
+					}
+				})
+				f.decode = func(raw []byte) (marshal.List, error) {
+					time.Sleep(tc.decoding)
+					return Decode(raw)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				began := time.Now()
+				go f.run(ctx)
+				defer time.Sleep(tc.decoding + time.Millisecond) // what is being decoded goes on to its end
+				defer cancel()
+				select {
+				case l := <-told:
+					a.mu.Lock()
+					calls, most := len(a.calls), a.most
+					a.mu.Unlock()
+					if took := time.Since(began); l.Stamp != tc.stamp || took < tc.at || took > tc.at+hasten {
+						t.Errorf("list %d told after %v, want %d after %v", l.Stamp, took, tc.stamp, tc.at)
+					}
+					if tc.calls > 0 && calls > tc.calls+1 { // the next watch may be out
+						t.Errorf("%d calls, want %d", calls, tc.calls)
+					}
+					if most > beside {
+						t.Errorf("%d calls open at once, want %d at most", most, beside)
+					}
+				case <-time.After(20 * time.Second):
+					t.Fatal("no list was told")
+				}
+				time.Sleep(5 * time.Millisecond)
+				if len(told) > 0 {
+					t.Errorf("then list %d was told", (<-told).Stamp)
+				}
+			})
+		})
+	}
+}
+
+// A silent agent, however long, has no more calls open than there are descriptors for, and is said to be silent after a
+// second; one that breaks the connection is not waited for.
+func TestLongSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &slowAgent{answer: func(call int, _ string) []piece {
+			if call == 2000 { // after 20 s
+				return nil
+			}
+			return []piece{never}
+		}}
+		f := slowWatch(a, func(marshal.List) { t.Error("a list was told") })
+		began := time.Now()
+		var warned atomic.Int64
+		f.log = warnings{f.log, func() { warned.CompareAndSwap(0, int64(time.Since(began))) }}
+		_, err := f.next(t.Context())
+		if took := time.Since(began); !errors.Is(err, errBroken) || took < 19*time.Second || took > 21*time.Second {
+			t.Errorf("after %v: %v, want %v", took, err, errBroken)
+		}
+		if at := time.Duration(warned.Load()); at < answer || at > answer+20*time.Millisecond {
+			t.Errorf("said to be silent after %v, want %v", at, answer)
+		}
+		synctest.Wait()
+		if open := a.open(); a.most > beside || open > 0 {
+			t.Errorf("%d calls open at once, %d in the end, want %d and none", a.most, open, beside)
+		}
+	})
+}
+
+// warnings is a log that tells of each warning.
+type warnings struct {
+	logrus.FieldLogger
+	warned func()
+}
+
+func (w warnings) WithError(err error) *logrus.Entry {
+	w.warned()
+	return w.FieldLogger.WithError(err)
+}
+
+// The answer to a watch is read for as long as bytes come; one that stays a part is followed by a call for the whole list.
+func TestSlowWatch(t *testing.T) {
+	part := []piece{{0, list(42, false, "Terminating")[:20]}, never}
+	for name, tc := range map[string]struct {
+		watch []piece
+		stamp int64
+		at    time.Duration
+	}{
+		"steadily":    {evenly(100*time.Millisecond, list(42, false, "Terminating"), 10), 42, time.Second},
+		"only a part": {part, 43, rest},
+		"for ever":    {evenly(100*time.Millisecond, list(42, false, "Terminating"), 60), 43, patience + 30*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				told := make(chan marshal.List, 10)
+				watches := 0
+				a := &slowAgent{answer: func(call int, since string) []piece {
+					if since == "" {
+						return []piece{{0, list(43, true, "Gone")}}
+					}
+					if watches++; watches > 1 {
+						return []piece{never}
+					}
+					pieces := append([]piece(nil), tc.watch...)
+					pieces[0].after = 0
+					return pieces
+				}}
+				f := slowWatch(a, func(l marshal.List) {
+					select {
+					case told <- l:
+					default:
+					}
+				})
+				f.at = 41
+				ctx, cancel := context.WithCancel(t.Context())
+				began := time.Now()
+				go f.run(ctx)
+				defer synctest.Wait()
+				defer cancel()
+				l := <-told
+				if took := time.Since(began); l.Stamp != tc.stamp || took < tc.at-100*time.Millisecond || took > tc.at+10*time.Millisecond {
+					t.Errorf("list %d told after %v, want %d after %v", l.Stamp, took, tc.stamp, tc.at)
+				}
+			})
+		})
+	}
+}
