An early answer counts though the request is not whole; a request is not written on after SendBy

Cause: conn.exchange took a failed write for "never ran" although an answer lay there (a mutating hit could run twice); Pool.run set the client's deadline for writing, past the last moment to send; a break inside a line of a head or in a trailer was named Spoilt, for net/http hides the end of the connection there (an endpoint that died stayed in use). Change: after a failed write an answer that has begun is read; writing ends at SendBy, as never sent; conn keeps the error that ended reading.

--- /dev/null
+++ b/internal/nodes/answers_test.go
@@ -0,0 +1,236 @@
+package nodes
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"ottershed/internal/clock"
+	"ottershed/internal/marshal"
+	"ottershed/internal/settings"
+	"ottershed/internal/socket"
+	"ottershed/logic"
+)
+
+const (
+	chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	goOn    = "HTTP/1.1 100 Continue\r\n\r\n"
+	full    = "HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// soon is far more than any time that these tests wait for, and far less than the deadline of an attempt that must not
+// be held until then.
+const (
+	soon     = 3 * time.Second
+	deadline = 10_000 // ms
+)
+
+// hooked is a connection of the pool that calls read after it has read something, and write before it writes.
+type hooked struct {
+	*net.TCPConn
+	read  func()
+	write func() error
+}
+
+func (c hooked) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.read()
+	}
+	return n, err
+}
+
+func (c hooked) Write(b []byte) (int, error) {
+	if err := c.write(); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(b)
+}
+
+// hook puts hooks into the connections that the pool opens from now on.
+func hook(p *Pool, read func(), write func() error) {
+	dial := p.dial
+	p.dial = func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+		c, err := dial(ctx, d, address)
+		if err != nil {
+			return nil, err
+		}
+		return hooked{c.(*net.TCPConn), read, write}, nil
+	}
+}
+
+func unhooked() error { return nil }
+
+// seen has the pool tell each time that it has read something from an endpoint.
+func seen(p *Pool) <-chan struct{} {
+	read := make(chan struct{}, 100)
+	hook(p, func() { read <- struct{}{} }, unhooked)
+	return read
+}
+
+func reset(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }
+
+// checkEnd fails unless the attempt ended as wanted, with a reply only if delivered, and the pool holds so many
+// connections, all of them idle.
+func checkEnd(t *testing.T, p *Pool, end marshal.End, want logic.Ending, held int) {
+	t.Helper()
+	if end.Ending != want || (end.Reply != nil) != (want == logic.Delivered) {
+		t.Errorf("ended %d, want %d; reply %v", end.Ending, want, end.Reply)
+	}
+	if end.Reply != nil && string(end.Reply.Body) != "hi" {
+		t.Errorf("body %q", end.Reply.Body)
+	}
+	if n := p.Count(); n.Held != held || n.Idle != held {
+		t.Errorf("held %d, idle %d, want %d", n.Held, n.Idle, held)
+	}
+}
+
+// An answer that breaks off is never passed on in part, the attempt is never taken for one that did not run, its
+// connection is closed and the request is not sent again. Wherever the break is, an endpoint that has ended the
+// connection is named Broken, at once, and one that has only fallen silent Spoilt, after the rest timer.
+func TestAnswerBreaksOff(t *testing.T) {
+	for place, part := range map[string]string{
+		"in the status line":          "HTTP/1.1 20",
+		"in a field name of the head": "HTTP/1.1 200 OK\r\nContent-Le",
+		"in a length":                 "HTTP/1.1 200 OK\r\nContent-Length: 1",
+		"after the head":              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+		"in the body":                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh",
+		"in the size of a chunk":      chunked + "1",
+		"in a chunk":                  chunked + "2\r\nh",
+		"before the last chunk":       chunked + "2\r\nhi\r\n",
+		"before the trailer":          chunked + "2\r\nhi\r\n0\r\n",
+		"in the trailer":              chunked + "2\r\nhi\r\n0\r\nX-Checks",
+	} {
+		for how, tc := range map[string]struct {
+			end  func(net.Conn)
+			want logic.Ending
+		}{
+			"FIN":     {func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }, logic.Broken},
+			"RST":     {reset, logic.Broken},
+			"silence": {func(net.Conn) {}, logic.Spoilt},
+		} {
+			t.Run(place+", "+how, func(t *testing.T) {
+				p := newPool(4)
+				read, rest := seen(p), p.rest
+				if tc.want == logic.Broken {
+					p.rest = time.Hour // the ending must not wait for the timer
+				}
+				s := newStand(t, func(c net.Conn, r *http.Request) { say(part)(c, r); <-read; tc.end(c) })
+				began := time.Now()
+				checkEnd(t, p, p.forward(s.Addr().String(), "POST", deadline, nil), tc.want, 0)
+				if took := time.Since(began); took > soon || tc.want == logic.Spoilt && took < rest {
+					t.Errorf("ended after %v, rest timer %v", took, rest)
+				}
+				if <-s.closed; s.requests.Load() != 1 {
+					t.Errorf("sent %d times", s.requests.Load())
+				}
+			})
+		}
+	}
+}
+
+// drip sends the start of an answer at once and then, byte by byte, the same text again and again.
+func drip(start, text string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, _ *http.Request) {
+		_, err := io.WriteString(c, start)
+		for i := 0; err == nil; i++ {
+			_, err = c.Write([]byte{text[i%len(text)]})
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
+// An endpoint whose answer comes a byte at a time is given up a quarter of the connect timeout after the first byte, at
+// least 50 ms: no further byte extends that, else it would hold its hits until their clients are gone.
+func TestSlowAnswer(t *testing.T) {
+	for name, tc := range map[string]struct {
+		start, text string
+		connect     logic.Millis
+		rest        time.Duration
+	}{
+		"status line":                     {"", "H", 100, 50 * time.Millisecond},
+		"head":                            {"HTTP/1.1 200 OK\r\nX-Padding: ", "x", 100, 50 * time.Millisecond},
+		"body":                            {"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n", "x", 100, 50 * time.Millisecond},
+		"chunks":                          {chunked, "1\r\nx\r\n", 100, 50 * time.Millisecond},
+		"trailer":                         {chunked + "0\r\n", "A: b\r\n", 100, 50 * time.Millisecond},
+		"body, with more time to connect": {"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n", "x", 800, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, drip(tc.start, tc.text))
+			p := NewPool(clock.New(), settings.Network{IdleAfter: 2000, ConnectTimeout: tc.connect}, 4, newPool(4).log)
+			began := time.Now()
+			checkEnd(t, p, p.forward(s.Addr().String(), "POST", deadline, nil), logic.Spoilt, 0)
+			if took := time.Since(began); took < tc.rest || took > soon {
+				t.Errorf("given up after %v, want %v", took, tc.rest)
+			}
+		})
+	}
+}
+
+// A 1xx answer is not the answer: what follows it has the attempt's whole time to begin and counts alone, and an
+// endpoint that falls silent after it may have run the request.
+func TestAfterContinue(t *testing.T) {
+	for name, tc := range map[string]struct {
+		then func(net.Conn)
+		want logic.Ending
+		held int
+	}{
+		"the answer":  {func(c net.Conn) { say(ok)(c, nil) }, logic.Delivered, 1},
+		"two answers": {func(c net.Conn) { say(ok+ok)(c, nil) }, logic.Delivered, 0},
+		"FIN":         {func(c net.Conn) { c.Close() }, logic.Broken, 0},
+		"RST":         {reset, logic.Broken, 0},
+		"silence":     {func(net.Conn) {}, logic.TimedOut, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(4)
+			read := seen(p)
+			s := newStand(t, func(c net.Conn, r *http.Request) { say(goOn)(c, r); <-read; tc.then(c) })
+			p.rest = time.Nanosecond // over as the next piece comes; a piece that is read at once needs none
+			checkEnd(t, p, p.forward(s.Addr().String(), "POST", 500, nil), tc.want, tc.held)
+		})
+	}
+}
+
+// An endpoint may answer before it has the whole request. The attempt is named by that answer: taken for one that never
+// ran, because the request was not written to its end, it would be sent again and run twice, or be held against an
+// endpoint that only turned it away.
+func TestAnswerBeforeRequestEnds(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer string
+		then   func(net.Conn) // when the answer has reached this side, which still writes
+		want   logic.Ending
+		held   int
+	}{
+		"delivered, then reads the rest": {ok, func(c net.Conn) { go io.Copy(io.Discard, c) }, logic.Delivered, 1},
+		"two answers, reads the rest":    {ok + ok, func(c net.Conn) { go io.Copy(io.Discard, c) }, logic.Delivered, 0},
+		"delivered, then resets":         {ok, reset, logic.Delivered, 0},
+		"turned away, then resets":       {full, reset, logic.NodeFull, 0},
+		"delivered, reads no more":       {ok, func(net.Conn) {}, logic.Delivered, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(4)
+			l, dialed, ends := narrow(t, p), make(chan net.Conn, 1), make(chan marshal.End, 1)
+			dial := p.dial
+			p.dial = func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+				c, err := dial(ctx, d, address)
+				dialed <- c
+				return c, err
+			}
+			p.Moved("n", l.Addr().String())
+			p.Forward(marshal.Forward{Node: "n", Address: l.Addr().String(), Until: p.clock.Now() + 1000,
+				Request: &marshal.Request{Method: "POST", URI: "/pay/x", Host: "h", Body: make([]byte, unread)},
+				Ended:   func(e marshal.End) { ends <- e }})
+			endpoint, client := accept(t, l), <-dialed
+			io.WriteString(endpoint, tc.answer)
+			for socket.Quiet(client.(syscall.Conn)) { // the answer is on its way
+				time.Sleep(time.Millisecond)
+			}
+			tc.then(endpoint)
+			checkEnd(t, p, <-ends, tc.want, tc.held)
+		})
+	}
+}
--- a/internal/nodes/conn.go
+++ b/internal/nodes/conn.go
@@ -30,22 +30,37 @@
 	left  *io.LimitedReader // what may still come of the present answer
 	r     *bufio.Reader
 	since time.Time // idle
+	over  error     // how reading ended
 }
 
 func newConn(raw net.Conn) *conn {
-	left := &io.LimitedReader{R: raw}
-	return &conn{Conn: raw, left: left, r: bufio.NewReader(left)}
+	c := &conn{Conn: raw}
+	c.left = &io.LimitedReader{R: c}
+	c.r = bufio.NewReader(c.left)
+	return c
+}
+
+// Read keeps the error with which reading ends. Errors of net/http hide it where an answer breaks off inside a line of its
+// head or in its trailer, and an endpoint that has gone would be taken for one that is there.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.over = err
+	return n, err
 }
 
 // exchange writes the request and reads the whole answer. written tells if the last byte went out, keep if the
 // connection is good for another request.
 func (c *conn) exchange(ctx context.Context, f marshal.Forward, now logic.Millis, until time.Time, rest time.Duration) (
 	end marshal.End, written, keep bool) {
-	if _, err := c.Write(encode(f.Request, f.Until-now)); err != nil {
+	c.left.N = 2 * longest
+	_, failed := c.Write(encode(f.Request, f.Until-now))
+	if failed != nil && !c.begun() {
 		return marshal.End{Ending: logic.Unreachable}, false, false
 	}
-	c.left.N = 2 * longest
 	res, body, begun, err := c.answer(ctx, until, rest)
+	if err != nil && c.over != nil {
+		err = c.over
+	}
 	switch late := errors.Is(err, os.ErrDeadlineExceeded); {
 	case err == nil:
 	case late && !begun:
@@ -61,7 +76,15 @@
 	if end.Ending == logic.Delivered {
 		end.Reply = &marshal.Reply{Fields: res.Header, Body: body}
 	}
-	return end, true, !res.Close && c.r.Buffered() == 0
+	return end, true, failed == nil && !res.Close && c.r.Buffered() == 0
+}
+
+// begun tells, where the request can't be written to its end, whether an answer to it lies there already. Such a request
+// has run for all that is known; taken for one that never ran, it would be sent again and run twice.
+func (c *conn) begun() bool {
+	c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.r.Peek(1)
+	return err == nil
 }
 
 // ended tells whether the other side has ended the connection.
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -339,7 +339,9 @@
 				return marshal.End{Ending: ending}
 			}
 		}
-		c.SetDeadline(until)
+		by := p.sendBy(f, until)
+		c.SetReadDeadline(until)
+		c.SetWriteDeadline(by) // an endpoint that has it whole only later may have forgotten that it ran before
 		stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 		end, written, keep := c.exchange(ctx, f, p.clock.Now(), until, p.rest)
 		if kept {
@@ -354,7 +356,7 @@
 		case end.Ending <= logic.NodeFull || end.Ending == logic.Spoilt && ctx.Err() == nil: // the node has answered
 		case !written && kept && ctx.Err() == nil && time.Now().Before(until):
 			continue // the kept connection was dead and nothing has run: a new one
-		case !written && ctx.Err() != nil:
+		case !written && (ctx.Err() != nil || by.Before(until) && !time.Now().Before(by)):
 			end.Ending = logic.NeverSent
 		case !written:
 			end.Ending = logic.Unreachable
--- /dev/null
+++ b/internal/nodes/requests_test.go
@@ -0,0 +1,163 @@
+package nodes
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"ottershed/internal/marshal"
+	"ottershed/logic"
+)
+
+// unread is the size of a body that a narrow endpoint's connection does not hold: a part of it stays unwritten.
+const unread = 256 << 10
+
+// accept gives the endpoint's side of a connection on which a part of a request has come.
+func accept(t *testing.T, l *net.TCPListener) net.Conn {
+	t.Helper()
+	c, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := io.ReadFull(c, make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// sips is a connection that is read a byte at a time, with a pause before each.
+type sips struct {
+	net.Conn
+	pause time.Duration
+}
+
+func (s sips) Read(b []byte) (int, error) {
+	time.Sleep(s.pause)
+	return s.Conn.Read(b[:min(1, len(b))])
+}
+
+// An endpoint that reads its request a byte at a time holds the attempt no longer than its deadline; a request that was
+// not written whole by then never ran, and one that was is answered.
+func TestSlowReader(t *testing.T) {
+	for name, tc := range map[string]struct {
+		size  int
+		pause time.Duration
+		left  logic.Millis
+		want  logic.Ending
+		held  int
+	}{
+		"whole in time":     {16 << 10, 0, deadline, logic.Delivered, 1},
+		"not whole in time": {unread, time.Millisecond, 300, logic.Unreachable, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(4)
+			l, ends, began := narrow(t, p), make(chan marshal.End, 1), time.Now()
+			p.Moved("n", l.Addr().String())
+			p.Forward(marshal.Forward{Node: "n", Address: l.Addr().String(), Until: p.clock.Now() + tc.left,
+				Request: &marshal.Request{Method: "POST", URI: "/pay/x", Host: "h", Body: make([]byte, tc.size)},
+				Ended:   func(e marshal.End) { ends <- e }})
+			endpoint := accept(t, l)
+			go func() {
+				all := io.MultiReader(strings.NewReader("POST"), sips{endpoint, tc.pause}) // accept has read the method
+				request, err := http.ReadRequest(bufio.NewReader(all))
+				if err != nil {
+					return
+				}
+				if n, _ := io.Copy(io.Discard, request.Body); n == int64(tc.size) {
+					say(ok)(endpoint, request)
+				}
+			}()
+			checkEnd(t, p, <-ends, tc.want, tc.held)
+			if took := time.Since(began); tc.held == 0 && (took < 290*time.Millisecond || took > soon) {
+				t.Errorf("ended after %v", took)
+			}
+		})
+	}
+}
+
+// bound carries an attempt that may be sent for so many ms only, on a kept connection if there is a rested one.
+func (p *Pool) bound(address string, sendBy logic.Millis, body int) marshal.End {
+	return p.run(context.Background(), marshal.Forward{Node: "n", Address: address, SendBy: sendBy, Until: sendBy + 1000,
+		Request: &marshal.Request{Method: "POST", URI: "/mark/x", Host: "h", Body: make([]byte, body)}}, p.aimed("n", address))
+}
+
+// until waits for a moment of the pool's clock.
+func (p *Pool) until(at logic.Millis) {
+	for p.clock.Now() < at {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// The last moment to send binds the sending alone: an attempt that is sent before it, on a kept connection or a new one,
+// may be answered after it. At that moment itself nothing is sent any more, though a kept connection stands ready.
+func TestSendByBinds(t *testing.T) {
+	for name, tc := range map[string]struct {
+		left logic.Millis
+		cool time.Duration // for so long a kept connection is not used
+		want logic.Ending
+		sent int32
+	}{
+		"before, kept connection":         {400, 0, logic.Delivered, 1},
+		"before, new connection":          {400, time.Hour, logic.Delivered, 1},
+		"at that moment, kept connection": {0, 0, logic.NeverSent, 0},
+		"at that moment, new connection":  {0, time.Hour, logic.NeverSent, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(4)
+			var sendBy atomic.Int64
+			s := newStand(t, func(c net.Conn, r *http.Request) { p.until(float64(sendBy.Load())); say(ok)(c, r) })
+			address := s.Addr().String()
+			p.forward(address, "GET", 1000, nil)
+			p.cool = tc.cool
+			sendBy.Store(int64(p.clock.Now() + tc.left))
+			end := p.bound(address, float64(sendBy.Load()), 0)
+			if sent := s.requests.Load() - 1; end.Ending != tc.want || sent != tc.sent {
+				t.Errorf("ended %d, want %d; sent %d times", end.Ending, tc.want, sent)
+			}
+		})
+	}
+}
+
+// An attempt whose kept connection turns out to be dead when the last moment to send has passed gets no new one: the
+// endpoint that it went to first has forgotten it by then, and it would run twice.
+func TestSendByBeforeNewConnection(t *testing.T) {
+	s, p := newStand(t, say(ok)), newPool(4)
+	address, sendBy := s.Addr().String(), 0.0
+	hook(p, func() {}, func() error {
+		if sendBy == 0 {
+			return nil
+		}
+		p.until(sendBy)
+		return syscall.EPIPE
+	})
+	p.forward(address, "GET", 1000, nil)
+	p.rested("n")
+	sendBy = p.clock.Now() + 200
+	checkEnd(t, p, p.bound(address, sendBy, 0), logic.NeverSent, 0)
+	if n := p.Count(); n.Opened != 1 || s.requests.Load() != 1 {
+		t.Errorf("opened %d connections, sent %d times", n.Opened, s.requests.Load())
+	}
+}
+
+// A request of which a part is written when the last moment to send comes is not written on: the endpoint, which runs it
+// when it is whole, would not remember that it ran before. That says nothing of the endpoint.
+func TestSendByWhileWritten(t *testing.T) {
+	p := newPool(4)
+	l, ends, sendBy := narrow(t, p), make(chan marshal.End, 1), p.clock.Now()+200
+	p.Moved("n", l.Addr().String())
+	go func() { ends <- p.bound(l.Addr().String(), sendBy, unread) }()
+	endpoint := accept(t, l)
+	p.until(sendBy + 20)
+	if rest, _ := io.ReadAll(endpoint); len(rest) >= unread {
+		t.Errorf("the whole request came after the last moment to send it")
+	}
+	checkEnd(t, p, <-ends, logic.NeverSent, 0)
+}
