No connection is closed with a part of the next request read; an id is free with its answer

Cause: gate.state took a connection for idle at StateIdle, while net/http had read ahead: a pipelined request reached the module and its client saw a close (A); the idle time ended a connection on which one to three bytes had been read (B); an id was freed after the handler's end, later than the last byte of a long answer, so it got a 409 (C). Change: a connection rests once its reader reads into its whole buffer again; the first byte of a further request gives it the time of a head; the id is freed before the answer's first byte.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -122,13 +122,18 @@
 	if f.leaving.Load() || r.Close {
 		r.Header.Set("Connection", "close")
 	}
+	// The last byte of a long answer is out before its handler ends; its client may use the id again from then on.
+	r.Request.Context().Value(freeKey{}).(func())()
 	return nil
 }
 
 // abandon ends the connection of a client that has gone.
 func abandon(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
 
-type hitKey struct{}
+type (
+	hitKey  struct{}
+	freeKey struct{}
+)
 
 // refuse answers what is no hit with an error, and closes. Danger: where its framing is in doubt, what follows on the
 // connection may be a part of it, or hide another request.
@@ -169,12 +174,14 @@
 			refuse(w, http.StatusConflict, "X-Correlation-Id is that of an open request")
 			return
 		}
-		defer f.release(id)
+		free := sync.OnceFunc(func() { f.release(id) })
+		defer free()
 		hit := &marshal.Hit{Group: group.Name, Tenant: logic.TenantID(r.Header.Get("X-Account")), Key: key(r), Left: left,
 			Taken: taken, Retried: r.Header.Get("X-Repeat") == "1",
 			Request: &marshal.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body}}
 		r.Body = http.NoBody
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), hitKey{}, hit)))
+		ctx := context.WithValue(context.WithValue(r.Context(), hitKey{}, hit), freeKey{}, free)
+		next.ServeHTTP(w, r.WithContext(ctx))
 	}
 }
 
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := socket.NewConn(c.(*net.TCPConn))
+	conn, err := socket.NewConn(c.(*net.TCPConn), inTime)
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +164,7 @@
 	case http.StateActive:
 		g.conns[c] = place{}
 	case http.StateIdle:
-		c.(*socket.Conn).Rest()
+		c.(*socket.Conn).Answered()
 		g.put(c, g.idle)
 	default:
 		g.room.Signal()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -3,12 +3,14 @@
 package socket
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Quiet tells whether a connection still stands and nothing has come on it.
@@ -30,17 +32,20 @@
 // take a request out, which is lost then. So reading and closing exclude each other here.
 type Conn struct {
 	*net.TCPConn
-	raw syscall.RawConn
+	raw     syscall.RawConn
+	forHead time.Duration // from the first byte of a further request on
 
-	mu    sync.Mutex
-	asked bool // something was read since Rest
-	shut  bool // by CloseUnasked
+	mu       sync.Mutex
+	asked    bool // something was read and isn't answered
+	answered bool // by Answered; what the reader holds may be a part of the next request
+	whole    int  // length of the reader's buffer, by its first read
+	shut     bool // by CloseUnasked
 }
 
-// NewConn makes one of a connection that was accepted.
-func NewConn(c *net.TCPConn) (*Conn, error) {
+// NewConn makes one of a connection that was accepted, with the time that the head of a further request may take.
+func NewConn(c *net.TCPConn, forHead time.Duration) (*Conn, error) {
 	raw, err := c.SyscallConn()
-	return &Conn{TCPConn: c, raw: raw}, err
+	return &Conn{TCPConn: c, raw: raw, forHead: forHead}, err
 }
 
 // Read reads as the connection itself does.
@@ -49,6 +54,7 @@
 		return 0, nil
 	}
 	var failed error
+	var begins bool // the next request
 	err = c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -56,10 +62,17 @@
 			failed = net.ErrClosed
 			return true
 		}
+		// The reader reads ahead: only one that reads into its whole buffer holds nothing of a further request.
+		c.whole = cmp.Or(c.whole, len(p))
+		if c.answered && len(p) >= c.whole {
+			c.asked, c.answered, begins = false, false, true
+		}
 		for n, failed = syscall.Read(int(fd), p); errors.Is(failed, syscall.EINTR); {
 			n, failed = syscall.Read(int(fd), p)
 		}
-		c.asked = c.asked || n > 0
+		if n > 0 {
+			c.asked, c.answered = true, false
+		}
 		return !errors.Is(failed, syscall.EAGAIN)
 	})
 	switch {
@@ -69,18 +82,21 @@
 		return 0, os.NewSyscallError("read", failed)
 	case n == 0:
 		return 0, io.EOF
+	case begins:
+		// The time of an idle connection may be over before the reader knows that a request has begun.
+		c.SetReadDeadline(time.Now().Add(c.forHead))
 	}
 	return n, nil
 }
 
-// Rest says that all that was asked is answered.
-func (c *Conn) Rest() {
+// Answered says that a request is answered; the connection is at rest once its reader waits and holds nothing further.
+func (c *Conn) Answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.asked = false
+	c.answered = true
 }
 
-// Asked tells whether something was read since Rest.
+// Asked tells whether something was read and not answered.
 func (c *Conn) Asked() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
