Hits cross to a zone with room, votes are looked at oftener, and slowness of all nodes counts by time

Change: a share of hits that crosses (at most half, in proportion to what it brings in time, over a warm-up time); votes looked at every 200 ms at the latest; a group against the time before counts as up to eight by the time that it took. Tests: TestCrossing, TestVoteSoonAfterWait, TestAllSlowerCountsTime, each red without its mend.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,17 +24,20 @@
 )
 
 const ( // ours; shares of figures from the settings or of what is seen
-	freshness = 0.15          // weight of the newest answer in what is known of a node
-	avoidHush = 4.0           // silence, as -log of its likelihood, from which a node gets nothing new
-	leaveHush = 8.0           // and from which what it holds is moved
-	slack     = 2.0           // answer time over the shortest at which the in-flight limit starts to fall
-	patience  = 0.25          // of the target latency: the wait for a first forward
-	tickShare = 0.05          // of the shortest target latency: the time between looks around
-	memory    = 2 * groupSize // outcomes in a pace
-	crowded   = 0.7           // share of answers that take long for their target, from which power is short
-	mostLooks = 3             // at nodes, for one forward
-	mostGaps  = 4             // that a group counts for against the time before the trial
-	tiny      = 1e-9
+	freshness     = 0.15          // weight of the newest answer in what is known of a node
+	avoidHush     = 4.0           // silence, as -log of its likelihood, from which a node gets nothing new
+	leaveHush     = 8.0           // and from which what it holds is moved
+	slack         = 2.0           // answer time over the shortest at which the in-flight limit starts to fall
+	patience      = 0.25          // of the target latency: the wait for a first forward
+	tickShare     = 0.05          // of the shortest target latency: the time between looks around
+	memory        = 2 * groupSize // outcomes in a pace
+	crowded       = 0.7           // share of answers that take long for their target, from which power is short
+	mostLooks     = 3             // at nodes, for one forward
+	mostGaps      = 4             // that a group counts for against the time before the trial
+	crossGain     = 4.0           // share of hits that cross zones, for the share that this would bring in time
+	mostCross     = 0.5           // and the most that cross while nodes at home may take them
+	lastingGroups = 8.0           // rejections, for each that sends a build back, that all nodes must be slower
+	tiny          = 1e-9
 )
 
 // New makes an instance that knows nothing but its settings.
@@ -57,6 +60,7 @@
 	m.settle(set)
 	m.turn, m.limit = m.chance.Next(), math.Inf(1)
 	m.typical, m.least = m.pool.Target*patience, m.pool.Target*patience
+	m.zoneTime = [2]Millis{m.typical, m.typical}
 	return m
 }
 
@@ -300,10 +304,7 @@
 	m.learn(f.node, e)
 	m.sample(h, f.node, e)
 	if b := f.Build; e.Ending == Delivered && h.key != 0 && m.set.KeysStay && m.told && b >= m.news.Build {
-		if b > m.pinBuild {
-			m.pinBuild, m.pins = b, map[uint16]bool{}
-		}
-		m.pins[uint16(h.key>>16)] = true
+		m.pin(b, h.key)
 	}
 	if h.done || e.HitEnded {
 		m.finish(h)
@@ -325,6 +326,13 @@
 	} else if n.out == 0 && m.refused > tickShare {
 		m.do(CloseIdle{Node: n.ID})
 	}
+	switch away := m.away(n); e.Ending {
+	case Delivered, TimedOut:
+		m.zoneTime[away] += freshness * (e.After - m.zoneTime[away])
+	case Unreachable, Broken, Recalled: // a zone that is cut off soon loses the hits that were sent over
+		m.zoneTime[away] += freshness * (max(e.After, m.pool.Target) - m.zoneTime[away])
+		m.crossing /= math.Pow(slack, float64(away))
+	}
 	switch e.Ending {
 	case Delivered:
 		m.typical += freshness * freshness * (e.After - m.typical)
@@ -464,6 +472,9 @@
 			return best, false
 		}
 	}
+	if m.crossing > 0 && len(m.from[1]) > 0 && m.chance.Next() < m.crossing {
+		m.from[0] = m.from[0][:0]
+	}
 	for away, from := range m.from {
 		if len(from) == 0 {
 			continue
@@ -539,6 +550,11 @@
 	if use[0]+use[1] < all/slowGap {
 		m.troubleAt = m.now
 	}
+	// A thin marshal knows too few nodes to see room in another zone; what it hears of either moves the share
+	// that crosses. All do so late and together: in larger steps, or without an end, the zones would fill in turn.
+	m.zoneTime[1] += (m.least - m.zoneTime[1]) * freshness * m.period / m.set.WarmAfter // to be tried again
+	gain := math.Exp(-m.pool.Target/m.zoneTime[0]) - math.Exp(-m.pool.Target/m.zoneTime[1]) - m.set.CrossPrice
+	m.crossing = min(mostCross, max(0, m.crossing+(crossGain*gain-m.crossing)*m.period/m.set.WarmAfter))
 	if units > 0 { // with only cold nodes left, as last seen
 		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/units/m.period - m.rate)
 	}
@@ -684,6 +700,7 @@
 		b.early = append(b.early[:min(len(b.early), groupSize)], v/pace)
 		b.doubted = len(b.early) >= groupSize/4 && stats.Median(b.early) > slowGap*stats.Median(b.blue.Last)
 	}
+	b.begin(m.now)
 	if none || b.doubted || !b.grn.Add(v/pace, groupSize) {
 		return
 	}
@@ -693,7 +710,9 @@
 		!b.slower(b.grn.Last, slowGap) {
 		b.rejects = 0
 	} else {
-		b.rejects += int(min(mostGaps, math.Log(b.gap)/math.Log(slowGap)))
+		// What eight groups in a row show, one shows that a thin marshal took as long to fill.
+		lasted := min(lastingGroups, max(1, lastingGroups*(m.now-b.begun)/blindAfter))
+		b.rejects += int(lasted * min(mostGaps, math.Log(b.gap)/math.Log(slowGap)))
 	}
 }
 
@@ -787,26 +806,9 @@
 	if e.Phase == GoingBack || e.Phase == Withdrawn {
 		m.pinBuild, m.pins = 0, map[uint16]bool{} // keys are free again
 	}
-	for _, g := range m.all {
-		// Danger: a thin marshal fills no group of the earlier build between two stages, and where it is gone none
-		// comes any more. What it has seen is kept for what it leans to; as a group it would send good builds back.
-		if seen := slices.Concat(g.blue.Last, g.blue.Fill); len(seen) >= groupSize/4 {
-			g.kept = seen
-		}
-		g.blue.Fill, g.grn, g.agrees, g.rejects = nil, stats.Groups{}, false, 0
-	}
-	if e.Build == old.Build {
-		return
-	}
-	m.intakeBefore = m.intake
-	for _, g := range m.all {
-		g.paceBefore, g.deskBefore = g.pace.Value, g.deskPace.Value
-		g.gone, g.counted, g.before = stats.Count{}, [2]stats.Count{}, nil
-		before := *g
-		g.before = &before // its groups are not written to again
-	}
-	for _, n := range m.list {
-		clear(n.tally)
+	m.beginStage(groupSize / 4)
+	if e.Build != old.Build {
+		m.beginBuild()
 	}
 }
 
@@ -825,7 +827,7 @@
 		if g.rejects >= g.often && m.now-m.troubleAt >= m.set.WarmAfter { // lost nodes crowd the rest
 			back = g
 		}
-		if g.before != nil && g.before.rejects >= 8*g.often {
+		if g.before != nil && g.before.rejects >= lastingGroups*g.often {
 			slow = g.before
 		}
 	}
@@ -866,11 +868,10 @@
 	if !m.told || m.now < m.voteDue || m.news.Phase == GoingBack || m.news.Phase == Withdrawn {
 		return
 	}
-	m.voteDue = m.now + m.pool.Target*patience
+	m.voteDue = m.now + min(m.pool.Target*patience, blindAfter*tickShare)
 	if m.now >= m.closeAt && m.now-m.stageAt >= blindAfter { // too thin to fill a group in time
 		if m.closeAt = m.now + blindAfter; len(m.pool.grn.Fill) >= backAfter {
-			m.pool.grn.Close()
-			m.pool.judge()
+			m.pool.close()
 		}
 	}
 	v, why := m.verdict()
--- a/logic/state.go
+++ b/logic/state.go
@@ -36,6 +36,8 @@
 	pinBuild             Build
 	share, turn          float64               // of hits that go to grn; the newest one's place among them
 	typical, least       Millis                // answer time over all nodes, and the least it was, creeping up
+	zoneTime             [2]Millis             // answer time of late, at home and away
+	crossing             float64               // share of hits that go to another zone though home could take them
 	slow                 float64               // share of answers that took long for their target
 	slowBy               []*float64            // the same by tenant and path group
 	tenants              map[TenantID]*float64 // as in the settings
@@ -76,6 +78,7 @@
 	agrees                 bool
 	rejects, often         int      // in a row; as many send a build back
 	slow                   *float64 // share of answers that took long for their target
+	begun                  Millis   // first outcome of the group being filled against the time before the trial
 	gap                    float64  // of medians, at the last look
 }
 
@@ -255,3 +258,50 @@
 
 // looked tells whether a probe has just come back from a node, and no hit was sent there since.
 func (m *Marshal) looked(n *node) bool { return n.lookAt > 0 && m.now-n.lookAt < m.least }
+
+// begin notes when the group that is filled next against the time before the trial has its first outcome.
+func (g *group) begin(now Millis) {
+	if len(g.grn.Fill) == 0 {
+		g.begun = now
+	}
+}
+
+// beginStage begins the groups of a stage. What was seen of the earlier build is kept where it is so many outcomes or more:
+// a thin marshal fills no group of it between two stages, and where it is gone none comes any more. It is kept for what
+// these outcomes lean to; as a group they would send good builds back.
+func (m *Marshal) beginStage(enough int) {
+	for _, g := range m.all {
+		if seen := slices.Concat(g.blue.Last, g.blue.Fill); len(seen) >= enough {
+			g.kept = seen
+		}
+		g.blue.Fill, g.grn, g.agrees, g.rejects = nil, stats.Groups{}, false, 0
+	}
+}
+
+// beginBuild begins the counts of a build that is offered, and keeps how things stood before.
+func (m *Marshal) beginBuild() {
+	m.intakeBefore = m.intake
+	for _, g := range m.all {
+		g.paceBefore, g.deskBefore = g.pace.Value, g.deskPace.Value
+		g.gone, g.counted, g.before = stats.Count{}, [2]stats.Count{}, nil
+		before := *g
+		g.before = &before // its groups are not written to again
+	}
+	for _, n := range m.list {
+		clear(n.tally)
+	}
+}
+
+// close ends the group of the build on trial that is being filled as it is, and judges it.
+func (g *group) close() {
+	g.grn.Close()
+	g.judge()
+}
+
+// pin notes that a build has answered a key. Keys of builds before it are forgotten.
+func (m *Marshal) pin(b Build, key uint32) {
+	if b > m.pinBuild {
+		m.pinBuild, m.pins = b, map[uint16]bool{}
+	}
+	m.pins[uint16(key>>16)] = true
+}
--- a/logic/thin_test.go
+++ b/logic/thin_test.go
@@ -150,3 +150,57 @@
 		}
 	}
 }
+
+// Where target latencies are long, votes were looked at so seldom that each stage of a good build stood for up to a quarter
+// of the longest one more: on calm+mass at 30 instances, targets of 7 to 9 s, five of eleven good builds were taken off
+// unreleased as the next one came. The vote comes soon after the wait is over.
+func TestVoteSoonAfterWait(t *testing.T) {
+	r := start(t, StageNews{}, func(s *Settings) {
+		for i := range s.Groups {
+			s.Groups[i].Target = 7000
+		}
+	})
+	began := r.now
+	r.do(trial(0, 0.1))
+	for _, id := range []NodeID{"a1", "a2"} {
+		r.m.nodes[id].tally[r.m.pool.index] = stats.Count{Good: 30}
+	}
+	for r.votes() == "" && r.now < began+10*blindAfter {
+		r.wait(r.m.period)
+	}
+	if took := r.now - began; r.votes() != "1" || took < blindAfter || took > blindAfter+2*r.m.period {
+		t.Errorf("votes %q after %v ms, a look around every %v", r.votes(), took, r.m.period)
+	}
+}
+
+// That all nodes are slower must last: eight groups in a row show it, or one that a marshal with few hits took 4 s or more
+// to fill. Counted by groups alone, such a marshal found a build that slows all nodes out after half a minute (calm+mass at
+// 30 instances, seed 8110: 12 s at all nodes, and released before).
+func TestAllSlowerCountsTime(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		took  Millis
+		slow  float64
+		proof bool
+	}{
+		{"at once", 0, 3, false},
+		{"in half a second", 500, 3, false},
+		{"in four seconds", 4000, 3, true},
+		{"in a minute", 60000, 3, true},
+		{"in four seconds, a little slower", 4000, 1.3, false},
+	} {
+		r := start(t, StageNews{Build: 7, Phase: Released, Cap: 1}, hundreds)
+		r.m.pool.blue = stats.Groups{Before: slices.Repeat([]float64{1, 1.1}, 10), Last: slices.Repeat([]float64{1, 1.1}, 10)}
+		r.m.pool.pace.Add(1, memory)
+		r.do(trial(0, 0.1))
+		for i := range groupSize {
+			if i > 0 {
+				r.m.now += c.took / (groupSize - 1)
+			}
+			r.m.enterBefore(r.m.pool.before, c.slow, 1)
+		}
+		if got := r.m.pool.before.rejects >= lastingGroups*r.m.pool.often; got != c.proof {
+			t.Errorf("%s: %d rejections, proof %v", c.name, r.m.pool.before.rejects, got)
+		}
+	}
+}
--- /dev/null
+++ b/logic/zones_test.go
@@ -0,0 +1,64 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Where one zone's clients crowd its nodes, a marshal with few hits hears too little of each node to see that the other
+// zone has room: on calm+mass at 100 instances, seed 8108, the one zone took 1.5 s an answer and the other 0.5 s to the
+// end of the day. Now what it hears of either zone moves hits over, at most half of them, and not to a zone that
+// is slow itself, fails, or is only a little quicker than the price of crossing.
+func TestCrossing(t *testing.T) {
+	const nodesInZone, hits = 30, 400
+	delivered := func(after Millis) func() (Ending, Millis) {
+		return func() (Ending, Millis) { return Delivered, after }
+	}
+	for _, c := range []struct {
+		name        string
+		home, away  func() (Ending, Millis)
+		price       float64
+		least, most float64 // share of the hits that goes to the other zone
+	}{
+		{"home crowded", delivered(400), delivered(60), 0.02, 0.25, mostCross + (1-mostCross)/2},
+		{"both quick", delivered(60), delivered(60), 0.02, 0, 0.1},
+		{"both crowded", delivered(400), delivered(400), 0.02, 0, 0.2},
+		{"home crowded, crossing dear", delivered(400), delivered(60), 0.5, 0, 0.1},
+		{"home crowded, other zone cut off", delivered(400), func() (Ending, Millis) { return Unreachable, 250 }, 0.02, 0, 0.15},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, StageNews{Build: 7, Phase: Released, Cap: 1}, func(s *Settings) {
+				s.Marshals, s.OnVotes, s.BackVotes, s.CrossPrice = 300, 180, 24, c.price
+			})
+			var nodes []Node
+			for i := range nodesInZone {
+				nodes = append(nodes, node4(NodeID(fmt.Sprintf("a%02d", i)), 7), node4(NodeID(fmt.Sprintf("b%02d", i)), 7))
+			}
+			r.do(NodesChanged{How: Whole, Nodes: nodes})
+			crossed := 0
+			for i := range hits {
+				h, to := r.hit("read", "")
+				r.wait(300)
+				end := c.home
+				if strings.HasPrefix(string(to), "b") {
+					end = c.away
+					if i >= hits/2 { // by then it has heard enough
+						crossed++
+					}
+				}
+				how, after := end()
+				r.end(h, 0, how, after)
+				if again := r.sent(h, 1); again != "" {
+					r.end(h, 1, Delivered, after)
+				}
+			}
+			if share := float64(crossed) / (hits / 2); share < c.least || share > c.most {
+				t.Errorf("a share of %.3f crosses, want %.2f to %.2f", share, c.least, c.most)
+			}
+			if r.m.crossing > mostCross {
+				t.Errorf("crossing %v", r.m.crossing)
+			}
+		})
+	}
+}
