--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,6 @@
 	m.settle(set)
 	m.turn, m.limit = m.chance.Next(), math.Inf(1)
 	m.typical, m.least = m.pool.Target*patience, m.pool.Target*patience
-	m.zoneTime = [2]Millis{m.typical, m.typical}
 	return m
 }
 
@@ -413,9 +412,9 @@
 // pick takes the better of two random choices at home; those of other zones must beat it by the price. While
 // much is missed and probes allowed, it looks first, until one is idle: what others sent doesn't show here.
 func (m *Marshal) pick(h *hit, side int) (best *node, wait bool) {
-	least := math.Inf(1)
+	least, over := math.Inf(1), 0.0 // what home is worse by, for a hit that may cross
 	better := func(n *node) {
-		if r := m.risk(h, n); r < least {
+		if r := m.risk(h, n) + over*float64(1-m.away(n)); r < least {
 			best, least = n, r
 		}
 	}
@@ -473,7 +472,7 @@
 		}
 	}
 	if m.crossing > 0 && len(m.from[1]) > 0 && m.chance.Next() < m.crossing {
-		m.from[0] = m.from[0][:0]
+		over = m.saved
 	}
 	for away, from := range m.from {
 		if len(from) == 0 {
@@ -551,10 +550,11 @@
 		m.troubleAt = m.now
 	}
 	// A thin marshal knows too few nodes to see room in another zone; what it hears of either moves the share
-	// that crosses. All do so late and together: in larger steps, or without an end, the zones would fill in turn.
+	// that crosses. All do so late and together: in larger steps, or without end, the zones would fill in turn.
 	m.zoneTime[1] += (m.least - m.zoneTime[1]) * freshness * m.period / m.set.WarmAfter // to be tried again
-	gain := math.Exp(-m.pool.Target/m.zoneTime[0]) - math.Exp(-m.pool.Target/m.zoneTime[1]) - m.set.CrossPrice
-	m.crossing = min(mostCross, max(0, m.crossing+(crossGain*gain-m.crossing)*m.period/m.set.WarmAfter))
+	m.saved = math.Exp(-m.pool.Target/m.zoneTime[0]) - math.Exp(-m.pool.Target/m.zoneTime[1])
+	m.crossing += (crossGain*(m.saved-m.set.CrossPrice) - m.crossing) * m.period / m.set.WarmAfter
+	m.crossing = min(mostCross, max(0, m.crossing))
 	if units > 0 { // with only cold nodes left, as last seen
 		m.rate += min(1, m.period/m.set.OverFor) * (m.delivered/units/m.period - m.rate)
 	}
