--- a/logic/logic.go
+++ b/logic/logic.go
@@ -329,7 +329,7 @@
 	case Delivered, TimedOut:
 		m.zoneTime[away] += freshness * (e.After - m.zoneTime[away])
 	case Unreachable, Broken, Recalled: // a zone that is cut off soon loses the hits that were sent over
-		m.zoneTime[away] += freshness * (max(e.After, m.pool.Target) - m.zoneTime[away])
+		m.zoneTime[1] += freshness * float64(away) * (max(e.After, m.pool.Target) - m.zoneTime[1])
 		m.crossing /= math.Pow(slack, float64(away))
 	}
 	switch e.Ending {
