--- a/logic/state.go
+++ b/logic/state.go
@@ -37,7 +37,7 @@
 	share, turn          float64               // of hits that go to grn; the newest one's place among them
 	typical, least       Millis                // answer time over all nodes, and the least it was, creeping up
 	zoneTime             [2]Millis             // answer time of late, at home and away
-	saved                float64               // chance to miss the target that another zone has less of
+	saved                float64               // chance to miss the target that another zone has less of, beyond the price of crossing
 	crossing             float64               // share of hits that go to another zone though home could take them
 	slow                 float64               // share of answers that took long for their target
 	slowBy               []*float64            // the same by tenant and path group
