Review: a halt no longer holds the stage while instances lose their messages

Cause: lease.Session.MayVote wants a valid lease for every vote to hold, also for one that rests on the operators' halt. While the log can't be reached leases end, no vote to hold is sent, and the clock of a halted build runs.

Change: review/3 shows it with a loss of 20 s of all messages between 14 instances. Nothing is fixed.

--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -170,11 +170,13 @@
     """The rollout controller. Each instance has a port of its own here, so that each vote can be told by its sender.
 
     With fences it rejects a vote under a token that is older than one that it has seen for that lease. With on_votes,
-    that many standing votes to advance move the stage on, once it has lasted for soak seconds.
+    that many standing votes to advance move the stage on, once it has lasted for soak seconds. With step, a clock moves it on
+    after so many seconds, without the time during which hold_votes votes to hold stand.
     """
 
-    def __init__(self, record, caps, build=42, on_votes=0, soak=1.5, vote_life=6.0):
+    def __init__(self, record, caps, build=42, on_votes=0, soak=1.5, vote_life=6.0, step=0.0, hold_votes=1):
         self.record, self.caps, self.on_votes, self.soak, self.vote_life = record, caps, on_votes, soak, vote_life
+        self.step, self.hold_votes, self.ran = step, hold_votes, 0.0
         self.build, self.ring, self.progress = build, 0, "testing"
         self.since = time.monotonic()
         self.lock = threading.RLock()
@@ -183,6 +185,8 @@
         self.standing = {}
         self.tokens = {}
         threading.Thread(target=self.ping, daemon=True).start()
+        if step:
+            threading.Thread(target=self.run_clock, daemon=True).start()
 
     def port_for(self, sender):
         address = free_address()
@@ -243,13 +247,42 @@
             self.send(conn, {"id": call["id"], "error": {"code": -32602, "message": "ConditionFailed"}})
             return
         self.standing[sender] = (now, params["opinion"])
-        self.advance(now)
+        self.advance()
         self.send(conn, {"id": call["id"], "result": self.news()})
 
-    def advance(self, now):
-        votes = sum(opinion == "on" and now - at < self.vote_life for at, opinion in self.standing.values())
-        if not self.on_votes or votes < self.on_votes or time.monotonic() - self.since < self.soak:
-            return
+    def count(self, opinion):
+        now = self.record.now()
+        return sum(kind == opinion and now - at < self.vote_life for at, kind in self.standing.values())
+
+    def advance(self):
+        if self.on_votes and self.count("on") >= self.on_votes and time.monotonic() - self.since >= self.soak:
+            self.move_on()
+
+    def run_clock(self):
+        last, held = time.monotonic(), False
+        while True:
+            time.sleep(0.02)
+            with self.lock:
+                now = time.monotonic()
+                passed, last = now - last, now
+                if self.progress != "testing":
+                    continue
+                if held != (self.count("hold") >= self.hold_votes):
+                    held = not held
+                    self.record(f"controller: the clock {'stands' if held else 'runs'}, {self.count('hold')} votes to hold stand")
+                self.ran += 0.0 if held else passed
+                if self.ran >= self.step:
+                    self.move_on()
+
+    def offer(self, build):
+        """Offers a new build, in its first stage."""
+        with self.lock:
+            self.build, self.ring, self.progress, self.since, self.ran = build, 0, "testing", time.monotonic(), 0.0
+            self.record(f"controller: a new build: {json.dumps(self.news())}")
+            self.tell()
+
+    def move_on(self):
+        self.ran = 0.0
         self.ring, self.progress = (self.ring + 1, "testing") if self.ring + 1 < len(self.caps) else (self.ring, "live")
         self.since = time.monotonic()
         self.standing.clear()
@@ -357,14 +390,40 @@
     return text + "".join(f'[[policy.servers]]\nname = "{n}"\naddress = "{a}"\n' for n, a in servers.items())
 
 
-def membership_section(seeds, own=None):
+def membership_section(seeds, own=None, reached_at=None):
     """The section [membership] with the times of deploy/operator.toml."""
     text = '[membership]\nenabled = true\ncluster = "town"\nbear-pause = "4s"\ndetect-within = "12s"\n'
     if own:
         text += f'bind = "{own}"\n'
+    if reached_at:
+        text += f'advertise = "{reached_at}"\n'
     return text + "".join(f'[[membership.seeds]]\nname = "{n}"\naddress = "{a}"\n' for n, a in seeds.items())
 
 
+class PacketRelay:
+    """A relay of UDP packets to one instance. While silent is set, all packets are lost."""
+
+    def __init__(self, target):
+        self.target = target
+        self.address = free_address(socket.SOCK_DGRAM)
+        self.silent = threading.Event()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(split(self.address))
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            packet, _ = self.socket.recvfrom(65536)
+            if not self.silent.is_set():
+                self.socket.sendto(packet, split(self.target))
+
+    def vanish(self):
+        self.silent.set()
+
+    def restore(self):
+        self.silent.clear()
+
+
 class Instance:
     """One balancer process, started as the deploy file says."""
 
