Ingress: log what a drain waits for and what it closes; its waits go through a field

A drain now says, when the grace period is over, how many connections it waits for and how many requests on them have no result yet, and warns with the same figures if it closes connections by its time limit. That tells apart: a drain that ends while results are missing (open above 0), one that cuts off responses (connections alone), and a client or a stop of the components behind the ingress (no warning).

Server.sleep takes the place of time.Sleep in Drain, so that tests can hold the drain up at a given point. No change of behaviour.

--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // state is a stage in the lifecycle of a server. These are the only transitions:
@@ -66,19 +68,30 @@
 // it.
 func (s *Server) Drain(grace time.Duration) error {
 	s.state.advance(draining)
-	time.Sleep(grace)
+	s.sleep(grace)
 	if err := s.limiter.shutdown(); err != nil {
 		return err
 	}
 	end := time.Now().Add(s.drainTimeout)
-	for s.limiter.closeUnusedAndIdle() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
+	connections := s.limiter.closeUnusedAndIdle()
+	s.log.WithFields(s.unfinished(connections)).Info("no longer accepting requests")
+	for ; connections > 0 && time.Now().Before(end); connections = s.limiter.closeUnusedAndIdle() {
+		s.sleep(drainPollInterval)
+	}
+	if connections > 0 {
+		s.log.WithFields(s.unfinished(connections)).Warn("drain timed out, closing connections")
 	}
 	err := s.httpServer.Close()
 	s.state.advance(closed)
 	return err
 }
 
+// unfinished returns the log fields of what a closing server still waits for: its connections, and the requests among
+// them that have no result yet. A connection without such a request is sending a response, or receiving a request.
+func (s *Server) unfinished(connections int) logrus.Fields {
+	return logrus.Fields{"connections": connections, "open": s.openIDs.count()}
+}
+
 // setListener sets the listener to accept from. It returns false if the server is already closing.
 func (l *connLimiter) setListener(listener net.Listener) bool {
 	l.mu.Lock()
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -50,6 +50,13 @@
 	delete(o.ids, id)
 }
 
+// count returns the number of open requests.
+func (o *openIDs) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.ids)
+}
+
 // serveRequest checks a request, reads its whole body and passes it to next, the reverse proxy. The engine receives only
 // complete requests.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, next http.Handler) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -42,11 +42,13 @@
 type Server struct {
 	engine Engine
 	clock  *clock.Clock
+	log    logrus.FieldLogger
 	parser requestParser
 
-	retryAfter          decision.Millis // Retry-After of requests rejected without the engine; 0: none
-	responseGracePeriod decision.Millis // time after a client's deadline within which the engine still responds
-	drainTimeout        time.Duration   // how long Drain waits for open requests after the server has stopped accepting
+	retryAfter          decision.Millis     // Retry-After of requests rejected without the engine; 0: none
+	responseGracePeriod decision.Millis     // time after a client's deadline within which the engine still responds
+	drainTimeout        time.Duration       // how long Drain waits for open requests after the server has stopped accepting
+	sleep               func(time.Duration) // time.Sleep; tests replace it to hold Drain up
 	decideResume        func(*decision.RequestClass) lease.ResumeDecision
 
 	httpServer *http.Server
@@ -61,7 +63,7 @@
 	e Engine, c *clock.Clock, s decision.Settings, n settings.Network, maxConnections int, log logrus.FieldLogger,
 ) *Server {
 	server := &Server{
-		engine: e, clock: c, parser: newRequestParser(s, n.MaxClientTimeout),
+		engine: e, clock: c, log: log, parser: newRequestParser(s, n.MaxClientTimeout), sleep: time.Sleep,
 		retryAfter: s.MaxRetryAfter, responseGracePeriod: n.ResponseGracePeriod,
 		drainTimeout: clock.Duration(n.MaxClientTimeout + n.ResponseGracePeriod),
 		openIDs:      openIDs{ids: map[string]bool{}},
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -268,20 +268,13 @@
 		if status == 409 {
 			clients[0].closeConn()
 			<-fake.disconnected
-			for server.openCount() > 0 {
+			for server.openIDs.count() > 0 {
 				time.Sleep(time.Millisecond)
 			}
 		}
 	}
 }
 
-// openCount returns the number of open requests.
-func (s *Server) openCount() int {
-	s.openIDs.mu.Lock()
-	defer s.openIDs.mu.Unlock()
-	return len(s.openIDs.ids)
-}
-
 // Connections without a complete request are closed within responseTimeout.
 func TestIncompleteRequestIsClosed(t *testing.T) {
 	for name, sent := range map[string]string{
