Ingress: a drain ends with the last response, not by a time limit of its own

Cause: Server.Drain waited for drainTimeout (longest client timeout and 20 ms after the grace period) and then closed all connections. Requests end by clocks of their own, 25 ms earlier at the nearest; nothing else put the two in order. After a hold-up over both the drain looked at its clock first.

Change: the drain has no limit; it ends when no connection carries a request. That is bounded by the steps of each request: head and body have readTimeout, the result has its deadline and the ingress's timer behind it. The one step without a bound, writing to a client that does not read, gets http.Server.WriteTimeout: writeTimeout after the latest time of a result.

TestDrainEndsWithClientThatNeverReads guards the bound: without WriteTimeout "Drain: not over after 5s".

--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -14,7 +14,7 @@
 //
 //	serving  -> draining  Drain is called
 //	draining -> closing   the grace period is over (connLimiter.shutdown)
-//	closing  -> closed    Drain has closed the connections
+//	closing  -> closed    all connections have ended
 //
 // A state is never entered again.
 type state int32
@@ -61,8 +61,12 @@
 
 // Drain shuts the server down gracefully and returns when it is closed. From the call on /up responds 503. Requests are
 // still served for the grace period, since the load balancer in front learns of the readiness with a delay. After that
-// no connections are accepted, and Drain waits until all open requests have their responses, at most for drainTimeout.
-// The error is one of closing the listener.
+// no connections are accepted, and Drain waits until all open requests have their responses. The error is one of closing
+// the listener.
+//
+// Drain has no time limit of its own: after a hold-up of the process it could expire before a response is written that
+// was due earlier. The wait ends because each step of a request has a limit: reading its head and body (readTimeout),
+// waiting for its result (RoundTrip), and writing its response (writeTimeout).
 //
 // Drain does not use http.Server.Shutdown, which may close a connection as idle although a request was just read from
 // it.
@@ -72,26 +76,19 @@
 	if err := s.limiter.shutdown(); err != nil {
 		return err
 	}
-	end := time.Now().Add(s.drainTimeout)
 	connections := s.limiter.closeUnusedAndIdle()
-	s.log.WithFields(s.unfinished(connections)).Info("no longer accepting requests")
-	for ; connections > 0 && time.Now().Before(end); connections = s.limiter.closeUnusedAndIdle() {
+	s.log.WithFields(logrus.Fields{
+		"connections": connections, "open": s.openIDs.count(),
+	}).Info("no longer accepting requests")
+	for connections > 0 {
 		s.sleep(drainPollInterval)
-	}
-	if connections > 0 {
-		s.log.WithFields(s.unfinished(connections)).Warn("drain timed out, closing connections")
+		connections = s.limiter.closeUnusedAndIdle()
 	}
 	err := s.httpServer.Close()
 	s.state.advance(closed)
 	return err
 }
 
-// unfinished returns the log fields of what a closing server still waits for: its connections, and the requests among
-// them that have no result yet. A connection without such a request is sending a response, or receiving a request.
-func (s *Server) unfinished(connections int) logrus.Fields {
-	return logrus.Fields{"connections": connections, "open": s.openIDs.count()}
-}
-
 // setListener sets the listener to accept from. It returns false if the server is already closing.
 func (l *connLimiter) setListener(listener net.Listener) bool {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/ingress/heldup_test.go
@@ -0,0 +1,79 @@
+package ingress
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"ottershed/internal/settings"
+)
+
+// shortTimeouts are the timeouts of a server whose requests are over soon after they came.
+var shortTimeouts = settings.Network{MaxClientTimeout: 20, ResponseGracePeriod: 5}
+
+// heldUpWriter is a response writer that blocks before the first byte of the response until release is closed.
+type heldUpWriter struct {
+	http.ResponseWriter
+	release <-chan struct{}
+}
+
+func (h heldUpWriter) Unwrap() http.ResponseWriter { return h.ResponseWriter }
+
+func (h heldUpWriter) WriteHeader(status int) {
+	<-h.release
+	h.ResponseWriter.WriteHeader(status)
+}
+
+// Guards against a request that gets no response because a drain ends by a time limit of its own. After a hold-up over the
+// end of the request's time, the drain was the first to look at its clock, and it closed the connection.
+func TestDrainWaitsForResponseAfterRequestsTime(t *testing.T) {
+	const polls = 10 // of Drain, which take longer than the time of the request
+	listener, release := listen(t), make(chan struct{})
+	endHoldUp := sync.OnceFunc(func() { close(release) })
+	defer endHoldUp()
+	polled := 0
+	server, fake := serveWith(t, listener, 10, shortTimeouts, func(server *Server) {
+		handler := server.httpServer.Handler
+		server.httpServer.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handler.ServeHTTP(heldUpWriter{w, release}, r)
+		})
+		server.sleep = func(wait time.Duration) {
+			time.Sleep(wait)
+			if polled++; polled == polls {
+				endHoldUp()
+			}
+		}
+	})
+	c := dial(t, listener.Addr().String())
+	c.send("POST /pay/1", "X-Time-Left: 0.020\r\nContent-Length: 0\r\n", "")
+	<-fake.requests
+	if err := server.Drain(0); err != nil {
+		t.Errorf("Drain: got error %v, want none", err)
+	}
+	if res, _ := c.readResponse(); res.StatusCode != http.StatusInternalServerError || !res.Close {
+		t.Errorf("response: got status %d (0: closed without a response), close %v; want 500, true", res.StatusCode, res.Close)
+	}
+}
+
+// Guards against a drain that never ends because a client does not read its response. The write timeout of the server ends
+// the connection.
+func TestDrainEndsWithClientThatNeverReads(t *testing.T) {
+	const responseBytes = 64 << 20 // more than the socket buffers of both sides can hold
+	listener := listen(t)
+	server, fake := serve(t, listener, 10, func(server *Server) {
+		server.httpServer.WriteTimeout /= 20 // no limit stays none
+	})
+	dial(t, listener.Addr().String()).send("GET /read/1", "X-Time-Left: 2\r\n", "")
+	request := <-fake.requests
+	drained := drain(server)
+	request.Respond(succeededResult(responseBytes)())
+	select {
+	case err := <-drained:
+		if err != nil {
+			t.Errorf("Drain: got error %v, want none", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("Drain: not over after 5s, want it to end with the write timeout")
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -26,6 +26,8 @@
 	responseTimeout = 3 * time.Second
 	// readTimeout is the time for reading the headers of a request, and again for its body.
 	readTimeout = responseTimeout / 3
+	// writeTimeout is the time that a client has at least for reading a response, from the moment that it is written.
+	writeTimeout = responseTimeout
 	// idleTimeout is how long a connection without a request is kept open.
 	idleTimeout = 2 * responseTimeout
 )
@@ -47,7 +49,6 @@
 
 	retryAfter          decision.Millis     // Retry-After of requests rejected without the engine; 0: none
 	responseGracePeriod decision.Millis     // time after a client's deadline within which the engine still responds
-	drainTimeout        time.Duration       // how long Drain waits for open requests after the server has stopped accepting
 	sleep               func(time.Duration) // time.Sleep; tests replace it to hold Drain up
 	decideResume        func(*decision.RequestClass) lease.ResumeDecision
 
@@ -65,17 +66,21 @@
 	server := &Server{
 		engine: e, clock: c, log: log, parser: newRequestParser(s, n.MaxClientTimeout), sleep: time.Sleep,
 		retryAfter: s.MaxRetryAfter, responseGracePeriod: n.ResponseGracePeriod,
-		drainTimeout: clock.Duration(n.MaxClientTimeout + n.ResponseGracePeriod),
-		openIDs:      openIDs{ids: map[string]bool{}},
+		openIDs: openIDs{ids: map[string]bool{}},
 	}
 	server.limiter = newConnLimiter(maxConnections, &server.state, log)
 	server.httpServer = &http.Server{
 		Handler: server.handler(), ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: discardLog(), ConnState: server.limiter.track,
+		WriteTimeout: latestResult(n) + writeTimeout, ErrorLog: discardLog(), ConnState: server.limiter.track,
 	}
 	return server
 }
 
+// latestResult returns the longest time from the end of a request's header until its result is known.
+func latestResult(n settings.Network) time.Duration {
+	return readTimeout + clock.Duration(n.MaxClientTimeout+n.ResponseGracePeriod)
+}
+
 // handler returns the handler of the server: the readiness check on /up, and client requests on all other paths.
 func (s *Server) handler() http.Handler {
 	proxy := &httputil.ReverseProxy{
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -52,6 +52,14 @@
 
 // serve starts a server on l. It calls prepare, which may be nil, before Serve.
 func serve(t *testing.T, l net.Listener, maxConnections int, prepare func(*Server)) (*Server, fakeEngine) {
+	t.Helper()
+	return serveWith(t, l, maxConnections, testNetwork, prepare)
+}
+
+// serveWith starts a server like serve, with the given timeouts.
+func serveWith(
+	t *testing.T, l net.Listener, maxConnections int, network settings.Network, prepare func(*Server),
+) (*Server, fakeEngine) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -60,7 +68,7 @@
 		{Name: "read", Idempotency: decision.Idempotent},
 		{Name: "mark", Idempotency: decision.IdempotentWithKey},
 		{Name: "pay"},
-	}, Tenants: []decision.TenantID{"", "acme"}}, testNetwork, maxConnections, log)
+	}, Tenants: []decision.TenantID{"", "acme"}}, network, maxConnections, log)
 	if prepare != nil {
 		prepare(server)
 	}
