Ingress: a closing server looks at its accept queue; a passed deadline is no look

What callers could see: a client that connected in the last moment of the grace period and had sent its request got a reset, if the process was held up just then. On a new connection clients don't send again, so the request was lost.

Accept asks for the deadline first and fails without a look if it has passed.

Not shown on a separate process.

--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -5,9 +5,12 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"ottershed/internal/sockopt"
 )
 
 // state is a stage in the lifecycle of a server. These are the only transitions:
@@ -52,9 +55,6 @@
 	// or closed by a closing server. Without it the client would lose its first request: clients retry on another
 	// connection only if the closed one has carried a request before.
 	newConnectionGrace = readTimeout / 10
-	// drainAcceptWait is how long a closing server waits for a connection from the accept queue. Connections in the queue
-	// are available at once.
-	drainAcceptWait = 5 * time.Millisecond
 	// drainPollInterval is the interval at which a closing server closes connections without a request.
 	drainPollInterval = newConnectionGrace / 10
 )
@@ -120,15 +120,35 @@
 	return ok && listener.SetDeadline(deadline) == nil
 }
 
+// hasQueuedConnection reports whether a connection waits in the accept queue. It returns false if the listener has no
+// descriptor to look at.
+func (l *connLimiter) hasQueuedConnection() bool {
+	listener, ok := l.listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	queued, err := sockopt.HasQueuedConnection(listener)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		l.log.WithError(err).Warn("accept queue unreadable, closing the listener")
+	}
+	return queued && err == nil
+}
+
 // acceptNext accepts a connection. While the server is closing, it accepts the connections that are left in the accept
 // queue, then closes the listener and returns net.ErrClosed. If the listener were closed first, requests on queued
 // connections would be lost.
+//
+// Only a look at the queue shows that it is empty. An expired deadline does not: Accept then fails without a look, also
+// if the deadline has expired only because the process was held up.
 func (l *connLimiter) acceptNext() (net.Conn, error) {
 	for {
 		closing := l.isClosing()
-		if closing && !l.setAcceptDeadline(time.Now().Add(drainAcceptWait)) {
+		if closing && !l.hasQueuedConnection() {
 			return nil, l.stopAccepting()
 		}
+		if closing {
+			l.setAcceptDeadline(time.Now().Add(responseTimeout)) // shutdown has set one that makes Accept fail
+		}
 		conn, err := l.listener.Accept()
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 		if timedOut && !closing {
--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -9,6 +9,9 @@
 	"ottershed/internal/settings"
 )
 
+// maxHoldUp is the longest time for which the process may be held up between reading its clock and acting on it.
+const maxHoldUp = 150 * time.Millisecond
+
 // shortTimeouts are the timeouts of a server whose requests are over soon after they came.
 var shortTimeouts = settings.Network{MaxClientTimeout: 20, ResponseGracePeriod: 5}
 
@@ -77,3 +80,39 @@
 		t.Error("Drain: not over after 5s, want it to end with the write timeout")
 	}
 }
+
+// heldUpListener is a gatedListener after whose first deadline in the future the process is held up.
+type heldUpListener struct {
+	gatedListener
+	holdUp func()
+}
+
+func (l heldUpListener) SetDeadline(deadline time.Time) error {
+	err := l.gatedListener.SetDeadline(deadline)
+	if time.Now().Before(deadline) {
+		l.holdUp()
+	}
+	return err
+}
+
+// Guards against requests that are lost because a hold-up makes the accept queue look empty: the deadline for the last look
+// passed before the look, and the listener was closed with connections in its queue.
+func TestDrainAcceptsQueuedConnectionsAfterHoldUp(t *testing.T) {
+	gated := gatedListener{listen(t), make(chan struct{})}
+	holdUp := sync.OnceFunc(func() { time.Sleep(maxHoldUp) })
+	server, _ := serve(t, heldUpListener{gated, holdUp}, 10, nil)
+	clients := []*client{dial(t, gated.Addr().String()), dial(t, gated.Addr().String()), dial(t, gated.Addr().String())}
+	for _, c := range clients {
+		c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
+	}
+	drained := drain(server)
+	close(gated.accept)
+	for i, c := range clients {
+		if res, _ := c.readResponse(); res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+			t.Errorf("client %d: got status %d (0: closed without a response), close %v; want 503, true", i, res.StatusCode, res.Close)
+		}
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("Drain: got error %v, want none", err)
+	}
+}
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -1,14 +1,16 @@
-// Package sockopt adds two operations to the connections of package net: checking a connection for input without
-// reading from it, and closing a client's connection from another goroutine than its reader if no request is in
-// progress.
+// Package sockopt adds three operations to the connections and listeners of package net: checking a connection for input
+// without reading from it, checking the accept queue of a listener without accepting, and closing a client's connection
+// from another goroutine than its reader if no request is in progress.
 //
-// [IsIdle] checks idle connections to endpoints. [NewConn] wraps an accepted connection. Its server calls
-// [Conn.MarkResponded] after each response, and a goroutine that needs the descriptor calls [Conn.CloseIfIdle].
+// [IsIdle] checks idle connections to endpoints. [HasQueuedConnection] checks a listener. [NewConn] wraps an accepted
+// connection. Its server calls [Conn.MarkResponded] after each response, and a goroutine that needs the descriptor calls
+// [Conn.CloseIfIdle].
 //
 // # Files
 //
-//	idle.go  IsIdle
-//	conn.go  Conn: reading from a client's connection and closing it
+//	idle.go      IsIdle
+//	listener.go  HasQueuedConnection
+//	conn.go      Conn: reading from a client's connection and closing it
 package sockopt
 
 import (
