Ingress: the body of a request has its second, whatever time the request has left

What callers could see: a request with a body of more than a few KiB and little time left got no response, its connection was closed, if the process was held up between reading the head and reading the body.

Cause (as in, two clocks and no order of events): readBody limited the read to the request's remaining time where that was below readTimeout. A deadline that has passed makes the read fail without a look at the socket, where the whole body lay.

Change: the limit is readTimeout. What is left of the request's time is the engine's affair, which answers at once what is over. Incomplete bodies end in a close after a second, as those with more time did.

Not shown on a separate process.

--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -116,3 +118,32 @@
 		t.Errorf("Drain: got error %v, want none", err)
 	}
 }
+
+// deadlineHoldUpWriter is a response writer. The process is held up after its handler has set a read deadline.
+type deadlineHoldUpWriter struct{ http.ResponseWriter }
+
+func (d deadlineHoldUpWriter) Unwrap() http.ResponseWriter { return d.ResponseWriter }
+
+func (d deadlineHoldUpWriter) SetReadDeadline(deadline time.Time) error {
+	err := http.NewResponseController(d.ResponseWriter).SetReadDeadline(deadline)
+	time.Sleep(maxHoldUp)
+	return err
+}
+
+// Guards against a request that gets no response because its time ends in a hold-up before its body is read. The whole
+// request is on the connection, and most of the body in the socket.
+func TestBodyIsReadAfterHoldUpOverRequestsTime(t *testing.T) {
+	listener := listen(t)
+	_, fake := serve(t, listener, 10, func(server *Server) {
+		handler := server.httpServer.Handler
+		server.httpServer.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handler.ServeHTTP(deadlineHoldUpWriter{w}, r)
+		})
+	})
+	respondToRequests(t, fake, failedResult)
+	c := dial(t, listener.Addr().String())
+	c.send("POST /pay/1", fmt.Sprintf("X-Time-Left: 0.1\r\nContent-Length: %d\r\n", maxBodyBytes), strings.Repeat("x", maxBodyBytes))
+	if res, _ := c.readResponse(); res.StatusCode != http.StatusInternalServerError {
+		t.Errorf("response: got status %d (0: closed without a response), want 500", res.StatusCode)
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -70,7 +70,7 @@
 		respondError(w, err)
 		return
 	}
-	body := readBody(w, r, clock.Duration(parsed.remaining))
+	body := readBody(w, r)
 	if !s.openIDs.claim(parsed.correlationID) {
 		respondError(w, errCorrelationIDInUse)
 		return
@@ -94,14 +94,15 @@
 		s.decideResume(parsed.class) == lease.ResumeReject
 }
 
-// readBody reads the whole body of a request. It aborts the connection if the body is not complete within readTimeout,
-// or within the remaining time of the request if that is shorter.
-func readBody(w http.ResponseWriter, r *http.Request, remaining time.Duration) []byte {
+// readBody reads the whole body of a request. It aborts the connection if the body is not complete within readTimeout.
+// The remaining time of the request is no limit here: it may be over because the process was held up, and a complete
+// request gets a response all the same.
+func readBody(w http.ResponseWriter, r *http.Request) []byte {
 	if r.ContentLength <= 0 {
 		return nil
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(min(readTimeout, remaining))) // fails only on a closed connection
+	_ = control.SetReadDeadline(time.Now().Add(readTimeout)) // fails only on a closed connection
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		panic(http.ErrAbortHandler)
