Client connections: a read deadline ends the wait for bytes, not the reading of those that came

What callers could see: a request whose last bytes came just before the end of the second for its head or body, or the first request of a connection 0.9 s old, got a close without a response if the process was held up over that end.

Change: sockopt.Conn.Read looks once more, without a wait, when the deadline passes within a request. The first look that finds nothing makes further reads fail until a new deadline is set. Between two requests nothing changes: a client sends again there.

Not shown on a separate process.

--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -147,3 +147,22 @@
 		t.Errorf("response: got status %d (0: closed without a response), want 500", res.StatusCode)
 	}
 }
+
+// Guards against a request that gets no response because the deadline for its head passed in a hold-up, with the whole
+// request on the connection. A request that is not there still ends with the deadline.
+func TestHeadIsReadAfterHoldUpOverReadDeadline(t *testing.T) {
+	gated := gatedListener{listen(t), make(chan struct{})}
+	_, fake := serve(t, gated, 10, func(server *Server) {
+		server.httpServer.ReadHeaderTimeout = 1 // expires before the first read
+	})
+	respondToRequests(t, fake, failedResult)
+	sent, silent := dial(t, gated.Addr().String()), dial(t, gated.Addr().String())
+	sent.send("GET /read/1", "X-Time-Left: 1\r\n", "")
+	close(gated.accept)
+	if res, _ := sent.readResponse(); res.StatusCode != http.StatusInternalServerError {
+		t.Errorf("response: got status %d (0: closed without a response), want 500", res.StatusCode)
+	}
+	if res, _ := silent.readResponse(); res.StatusCode != 0 {
+		t.Errorf("response without a request: got status %d, want the connection closed", res.StatusCode)
+	}
+}
--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -24,6 +24,7 @@
 	responded  bool // set by MarkResponded; the reader may have buffered a part of the next request
 	bufferSize int  // size of the reader's buffer in bytes, from its first read; 0: unknown
 	closed     bool // set by CloseIfIdle
+	timedOut   bool // a read after the deadline has found nothing; reset by SetReadDeadline
 }
 
 // NewConn wraps an accepted connection. headTimeout limits the time from the first byte of a request to the end of its
@@ -34,16 +35,20 @@
 	return &Conn{TCPConn: c, raw: raw, headTimeout: headTimeout}, err
 }
 
-// Read reads like the Read method of [net.TCPConn]. The first byte of each request after the first one sets the read
-// deadline to headTimeout from now, unless the reader has already buffered a part of that request. After CloseIfIdle
-// has closed the connection, the error wraps [net.ErrClosed]. Read may be called by one goroutine at a time.
+// Read reads like the Read method of [net.TCPConn], with two differences. The first byte of each request after the first
+// one sets the read deadline to headTimeout from now, unless the reader has already buffered a part of that request. And
+// a deadline that passes within a request ends only the wait: Read still returns bytes that have arrived, until it finds
+// none. They may have arrived in time, while the process was held up, and the request would be lost with them.
+//
+// After CloseIfIdle has closed the connection, the error wraps [net.ErrClosed]. Read may be called by one goroutine at a
+// time.
 func (c *Conn) Read(buffer []byte) (n int, err error) {
 	if len(buffer) == 0 {
 		return 0, nil
 	}
 	var readErr error
 	var requestStarts bool // a further request starts with this read
-	err = c.raw.Read(func(fd uintptr) bool {
+	tryRead := func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.closed {
@@ -57,7 +62,11 @@
 			c.responded = false
 		}
 		return !errors.Is(readErr, syscall.EAGAIN)
-	})
+	}
+	err = c.raw.Read(tryRead)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !requestStarts && c.withinRequest(len(buffer)) && c.readArrived(tryRead) {
+		err = nil
+	}
 	switch {
 	case err != nil:
 		return 0, err
@@ -85,6 +94,41 @@
 	return true
 }
 
+// readArrived calls tryRead after the read deadline and reports whether it has read. Once it has not, it returns false until
+// a new deadline is set: bufio.Reader.ReadLine hides the error of a read that breaks a line off, and a later read that
+// succeeded would add the rest of that line as another one.
+func (c *Conn) readArrived(tryRead func(fd uintptr) bool) bool {
+	c.mu.Lock()
+	timedOut := c.timedOut
+	c.mu.Unlock()
+	arrived := false
+	if !timedOut {
+		err := c.raw.Control(func(fd uintptr) { arrived = tryRead(fd) })
+		arrived = arrived && err == nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timedOut = !arrived
+	return arrived
+}
+
+// SetReadDeadline sets the time from which Read does not wait any more.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	c.timedOut = false
+	c.mu.Unlock()
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// withinRequest reports whether a read of readSize bytes is for a request that may be partly on the connection: the first
+// one, or one of which a part was read. A read of a single byte is none: http.Server reads so while a request is served,
+// and sets a deadline in the past to interrupt it.
+func (c *Conn) withinRequest(readSize int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.responded && readSize > 1
+}
+
 // readFD calls read(2) and repeats it if a signal interrupts it.
 func readFD(fd int, buffer []byte) (int, error) {
 	for {
--- a/internal/sockopt/conn_test.go
+++ b/internal/sockopt/conn_test.go
@@ -167,3 +167,79 @@
 	}
 	t.Logf("closed %d, read %d", closedCount, readCount)
 }
+
+// A read deadline ends the wait for bytes. It does not keep bytes from the reader that arrived before it was noticed, or a
+// request would be lost if the process was held up meanwhile. Only a connection between two requests ends at its deadline:
+// its client sends a request again that crosses the end.
+func TestReadAfterDeadline(t *testing.T) {
+	buffer := make([]byte, 64)
+	for name, test := range map[string]struct {
+		prepare func(t *testing.T, client net.Conn, server *Conn) // called before the client sends "late"
+		want    error
+	}{
+		"first request": {func(*testing.T, net.Conn, *Conn) {}, nil},
+		"rest of a request": {func(t *testing.T, client net.Conn, server *Conn) {
+			t.Helper()
+			readText(t, client, server, "part", buffer)
+		}, nil},
+		"between two requests": {func(t *testing.T, client net.Conn, server *Conn) {
+			t.Helper()
+			readText(t, client, server, "request", buffer)
+			server.MarkResponded()
+		}, os.ErrDeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, server := connPair(t)
+			test.prepare(t, client, server)
+			sendText(client, "late")
+			for IsIdle(server) {
+				runtime.Gosched()
+			}
+			if err := server.SetReadDeadline(time.Unix(1, 0)); err != nil {
+				t.Fatal(err)
+			}
+			n, err := server.Read(buffer)
+			if received := string(buffer[:n]); !errors.Is(err, test.want) || (received == "late") != (err == nil) {
+				t.Errorf("Read after the deadline: got %q, error %v, want error %v, and the text if there is none", received, err, test.want)
+			}
+			if n, err := server.Read(buffer); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("Read of nothing after the deadline: got %d bytes, error %v, want 0, %v", n, err, os.ErrDeadlineExceeded)
+			}
+		})
+	}
+}
+
+// Once a read after the deadline has found nothing, further ones fail too, until a new deadline is set. A reader that took
+// the rest of a line for another line would parse another request than the client has sent.
+func TestReadFailsUntilNewDeadline(t *testing.T) {
+	client, server := connPair(t)
+	buffer := make([]byte, 64)
+	readText(t, client, server, "X-Filler: a li", buffer)
+	if err := server.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	for _, sent := range []string{"", "ne", ""} {
+		sendText(client, sent)
+		for sent != "" && IsIdle(server) {
+			runtime.Gosched()
+		}
+		if n, err := server.Read(buffer); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("Read with %q sent after the deadline: got %d bytes, error %v, want 0, %v", sent, n, err, os.ErrDeadlineExceeded)
+		}
+	}
+	if err := server.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := server.Read(buffer); string(buffer[:n]) != "ne" || err != nil {
+		t.Errorf("Read with a new deadline: got %q, error %v, want \"ne\"", buffer[:n], err)
+	}
+}
+
+// readText has the client send a text and the server read it.
+func readText(t *testing.T, client net.Conn, server *Conn, text string, buffer []byte) {
+	t.Helper()
+	sendText(client, text)
+	if n, err := server.Read(buffer); string(buffer[:n]) != text || err != nil {
+		t.Fatalf("Read: got %q, error %v, want %q", buffer[:n], err, text)
+	}
+}
