Ingress: requests after the grace period are rejected by the clock, not by the drain's progress

What callers could see: an instance that is held up at the end of its grace period after SIGTERM took requests that came up to 0.74 s after the signal, where it rejects them from 0.6 s on. With an endpoint that hangs their response is due after the moment at which the platform may kill the process.

Cause: rejection began with the state closing. Drain enters it when its sleep is over; after a hold-up, handlers and Drain run in any order.

Change: Drain notes the end of the grace period before it sleeps, and rejectsRequests compares each request with that. It takes the place of the question for the state closing, which Drain enters no earlier.

Evidence: TestRequestAfterGracePeriodIsRejectedWhileDrainIsHeldUp; on the commit before: "got status 500, close true; want 503, true". Package passed, also under -race. Not shown on a separate process.

--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -71,6 +71,8 @@
 // Drain does not use http.Server.Shutdown, which may close a connection as idle although a request was just read from
 // it.
 func (s *Server) Drain(grace time.Duration) error {
+	graceEnd := time.Now().Add(grace)
+	s.graceEnd.Store(&graceEnd)
 	s.state.advance(draining)
 	s.sleep(grace)
 	if err := s.limiter.shutdown(); err != nil {
@@ -89,6 +91,12 @@
 	return err
 }
 
+// graceOver reports whether the grace period of a drain is over. The state closing may come later, if Drain is held up.
+func (s *Server) graceOver() bool {
+	end := s.graceEnd.Load()
+	return end != nil && !time.Now().Before(*end)
+}
+
 // setListener sets the listener to accept from. It returns false if the server is already closing.
 func (l *connLimiter) setListener(listener net.Listener) bool {
 	l.mu.Lock()
--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -166,3 +166,26 @@
 		t.Errorf("response without a request: got status %d, want the connection closed", res.StatusCode)
 	}
 }
+
+// Guards against a request that is passed to the engine after the grace period, because Drain is held up before it enters
+// the state closing. Its response could come after the process was killed.
+func TestRequestAfterGracePeriodIsRejectedWhileDrainIsHeldUp(t *testing.T) {
+	listener, release := listen(t), make(chan struct{})
+	server, fake := serve(t, listener, 10, func(server *Server) {
+		server.sleep = func(time.Duration) { <-release }
+	})
+	c := dial(t, listener.Addr().String())
+	c.makeIdle(server)
+	drained := make(chan error, 1)
+	go func() { drained <- server.Drain(time.Nanosecond) }()
+	waitFor(t, "draining", func() bool { return server.state.reached(draining) })
+	respondToRequests(t, fake, failedResult)
+	c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
+	if res, _ := c.readResponse(); res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+		t.Errorf("response: got status %d, close %v; want 503, true", res.StatusCode, res.Close)
+	}
+	close(release)
+	if err := <-drained; err != nil {
+		t.Errorf("Drain: got error %v, want none", err)
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -150,8 +150,8 @@
 	}
 }
 
-// rejectsRequests reports whether requests are rejected without the engine. A closing server rejects requests that
-// arrive on open connections: the process might be killed before an endpoint has responded.
+// rejectsRequests reports whether requests are rejected without the engine. After the grace period of a drain, requests
+// that arrive on open connections are rejected: the process might be killed before an endpoint has responded.
 func (s *Server) rejectsRequests() bool {
-	return s.notReady.Load() || s.limiter.isClosing() || s.limiter.full()
+	return s.notReady.Load() || s.graceOver() || s.limiter.full()
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -55,7 +55,8 @@
 	httpServer *http.Server
 	limiter    *connLimiter
 	state      lifecycle
-	notReady   atomic.Bool // set by SetNotReady, cleared by SetReady
+	graceEnd   atomic.Pointer[time.Time] // end of the grace period; nil until Drain is called
+	notReady   atomic.Bool               // set by SetNotReady, cleared by SetReady
 	openIDs    openIDs
 }
 
