Ingress: an error of closing the listener no longer ends a drain with requests open

What callers could see: requests that were open at the end of the grace period got no response if closing the listener failed; the process ended with an error. Cause: Drain returned the error at once, before it had waited. It waits now and returns it at the end.

Found by reading, with the question who owes the answer of a request at each return of Drain. No system call that failed so was seen.

Evidence: TestDrainWaitsAfterListenerError; on the commit before: "Drain: returned close failed with a request open, want it to wait".

--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"os"
@@ -75,9 +76,7 @@
 	s.graceEnd.Store(&graceEnd)
 	s.state.advance(draining)
 	s.sleep(grace)
-	if err := s.limiter.shutdown(); err != nil {
-		return err
-	}
+	listenerErr := s.limiter.shutdown() // open requests get their responses all the same
 	connections := s.limiter.closeUnusedAndIdle()
 	s.log.WithFields(logrus.Fields{
 		"connections": connections, "open": s.openIDs.count(),
@@ -88,7 +87,7 @@
 	}
 	err := s.httpServer.Close()
 	s.state.advance(closed)
-	return err
+	return cmp.Or(listenerErr, err)
 }
 
 // graceOver reports whether the grace period of a drain is over. The state closing may come later, if Drain is held up.
--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -189,3 +191,39 @@
 		t.Errorf("Drain: got error %v, want none", err)
 	}
 }
+
+// errClose is the error of unclosableListener.
+var errClose = errors.New("close failed")
+
+// unclosableListener is a listener whose Close returns an error.
+type unclosableListener struct{ *net.TCPListener }
+
+func (l unclosableListener) Close() error { return errors.Join(l.TCPListener.Close(), errClose) }
+
+// Guards against open requests that are lost because closing the listener returns an error. Drain returns the error when
+// they have their responses.
+func TestDrainWaitsAfterListenerError(t *testing.T) {
+	listener := unclosableListener{listen(t)}
+	server, fake := serve(t, listener, 10, nil)
+	c := dial(t, listener.Addr().String())
+	c.send("GET /read/1", "X-Time-Left: 2\r\n", "")
+	request := <-fake.requests
+	drained := drain(server)
+	select {
+	case <-server.limiter.listenerClosed:
+	case <-time.After(responseTimeout):
+		t.Fatal("the listener is not closed")
+	}
+	select {
+	case err := <-drained:
+		t.Fatalf("Drain: returned %v with a request open, want it to wait", err)
+	case <-time.After(5 * drainPollInterval):
+	}
+	request.Respond(failedResult())
+	if res, _ := c.readResponse(); res.StatusCode != http.StatusInternalServerError {
+		t.Errorf("response: got status %d, want 500", res.StatusCode)
+	}
+	if err := <-drained; !errors.Is(err, errClose) {
+		t.Errorf("Drain: got error %v, want %v", err, errClose)
+	}
+}
