Instance: an error of accepting connections drains before the process ends

What callers could see: if accept(2) failed with an error that net/http does not take for temporary, the process ended at once and all open requests with it, without a response.

Cause: instance.run returned the error of Serve and did not drain. It drains now without a grace period, answers what is open and returns the error after that, also when the cluster has been left; the log says "ingress failed, draining".

Found by reading, with the question who owes the answer of a request at each return of run. No system call that failed so was seen.

--- a/cmd/balancer/instance.go
+++ b/cmd/balancer/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -92,8 +93,8 @@
 }
 
 // run starts the components, serves until stop delivers a signal, and drains. The ingress stops before all other
-// components, since requests in flight need them. If the ingress fails before a signal, run returns its error and does not
-// drain.
+// components, since requests in flight need them. If the ingress fails before a signal, run drains without a grace period
+// and returns its error.
 func (i *instance) run(ctx context.Context, stop <-chan os.Signal, reload *reloader, readyDeadline time.Time) error {
 	endpoints := i.applyConfiguredState()
 	ctx, cancel := context.WithCancel(ctx)
@@ -117,11 +118,12 @@
 	}).Info("serving")
 	select {
 	case err := <-ingressEnded:
-		return fmt.Errorf("serve clients: %w", err)
+		i.log.WithError(err).Error("ingress failed, draining")
+		return errors.Join(fmt.Errorf("serve clients: %w", err), i.drain(ctx, 0))
 	case sig := <-stop:
 		i.log.WithField("signal", sig.String()).Info("draining")
 	}
-	return i.drain(ctx)
+	return i.drain(ctx, drainGrace)
 }
 
 // applyConfiguredState passes the endpoint list and stage of the configuration to the engine, if they are set there. It
@@ -137,20 +139,21 @@
 	return endpoints
 }
 
-// drain stops the ingress once all its requests have their responses. The instance leaves the cluster at the same time, so
-// that a slow cluster does not delay responses to clients.
-func (i *instance) drain(ctx context.Context) error {
+// drain stops the ingress after a grace period, once all its requests have their responses. The instance leaves the
+// cluster at the same time, so that a slow cluster does not delay responses to clients.
+func (i *instance) drain(ctx context.Context, grace time.Duration) error {
 	var leaving sync.WaitGroup
 	leaving.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, clusterLeaveTimeout)
 		defer cancel()
 		i.cluster.leave(ctx)
 	})
-	if err := i.ingress.Drain(drainGrace); err != nil {
-		return fmt.Errorf("drain the ingress: %w", err)
-	}
+	err := i.ingress.Drain(grace)
 	leaving.Wait()
 	i.summary.writeFinal()
+	if err != nil {
+		return fmt.Errorf("drain the ingress: %w", err)
+	}
 	i.log.Info("stopped")
 	return nil
 }
--- a/cmd/balancer/platform_test.go
+++ b/cmd/balancer/platform_test.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// runsOf returns how often endpoints received the POST request with an id.
+func (p *platformStub) runsOf(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.nonIdempotentRuns[id]
+}
+
 // close stops the stubs. Further calls do nothing.
 func (p *platformStub) close() {
 	p.closing.Do(func() {
