Test of unused connections: wait until http.Server has reported the connection

Cause, in the test: it waited until the limiter listed the connection, which Accept does; http.Server reports the same connection as new a moment later, and the limiter lists it anew with the present time. Between the test's change of the time and its check, that undid the change. The product may do so: it makes the connection younger by microseconds.

The test waits for the report of http.Server now; what it checks is as before.

--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -623,12 +623,16 @@
 
 // A connection without a byte is not closed before newConnectionGrace, also by a closing server.
 func TestUnusedConnectionHasGracePeriod(t *testing.T) {
-	l := listen(t)
-	server, _ := serve(t, l, 10, nil)
+	l, tracked := listen(t), make(chan struct{})
+	server, _ := serve(t, l, 10, func(server *Server) {
+		observeStates(server, func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				close(tracked)
+			}
+		})
+	})
 	dial(t, l.Addr().String())
-	for server.limiter.connCount() < 1 {
-		time.Sleep(time.Millisecond)
-	}
+	<-tracked // the limiter lists a connection in Accept, and again, as if it were new, when http.Server reports it
 	for _, test := range []struct {
 		age       time.Duration
 		remaining int // number of connections
