Ingress: a result that is there goes before the timer of an overdue request

What callers saw: held up over the end of a request's time, an instance answered 500 in part of the cases although the endpoint's response was there, also where the request must not run twice.

After a hold-up both are due, and select picks one at random. When the timer is due, a result that is there is taken now.

--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"ottershed/internal/clock"
+	"ottershed/internal/engine"
 	"ottershed/internal/settings"
 )
 
@@ -227,3 +229,33 @@
 		t.Errorf("Drain: got error %v, want %v", err, errClose)
 	}
 }
+
+// heldUpEngine returns the result of each request at once. The process is held up after that until the request's time and
+// the server's grace are over.
+type heldUpEngine struct{ fakeEngine }
+
+func (h heldUpEngine) ReceiveRequest(request *engine.ClientRequest) {
+	request.Respond(succeededResult(2)())
+	time.Sleep(clock.Duration(request.Remaining + 2*shortTimeouts.ResponseGracePeriod))
+}
+
+// Guards against a 500 for a request whose result is there, because its time ended in a hold-up. A client would take a
+// non-idempotent request that has run for one that may not have.
+func TestResultGoesBeforeOverdueTimer(t *testing.T) {
+	const requests = 30 // without an order, each request gets either of the two responses
+	listener := listen(t)
+	disconnected := make(chan *engine.ClientRequest, requests)
+	serveWith(t, listener, 10, shortTimeouts, func(server *Server) {
+		server.engine = heldUpEngine{fakeEngine{disconnected: disconnected}}
+	})
+	c := dial(t, listener.Addr().String())
+	for range requests {
+		c.send("POST /pay/1", "X-Time-Left: 0.005\r\nContent-Length: 0\r\n", "")
+		if res, body := c.readResponse(); res.StatusCode != http.StatusOK || len(body) != 2 {
+			t.Fatalf("response: got status %d, %d bytes; want 200, 2", res.StatusCode, len(body))
+		}
+	}
+	if len(disconnected) != 0 {
+		t.Errorf("engine: got %d requests reported as disconnected, want none", len(disconnected))
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -142,14 +142,25 @@
 	case result := <-results:
 		return newResponse(r, result), nil
 	case <-overdue.C:
-		s.engine.ClientDisconnected(request)
-		return newResponse(r, engine.Result{Kind: engine.Failed}), nil
+		return newResponse(r, s.overdueResult(request, results)), nil
 	case <-r.Context().Done():
 		s.engine.ClientDisconnected(request)
 		return nil, r.Context().Err()
 	}
 }
 
+// overdueResult returns the result of a request whose time is over: the engine's if it is there, since both are due after
+// a hold-up of the process, and otherwise a failure, of which it notifies the engine.
+func (s *Server) overdueResult(request *engine.ClientRequest, results <-chan engine.Result) engine.Result {
+	select {
+	case result := <-results:
+		return result
+	default:
+		s.engine.ClientDisconnected(request)
+		return engine.Result{Kind: engine.Failed}
+	}
+}
+
 // rejectsRequests reports whether requests are rejected without the engine. After the grace period of a drain, requests
 // that arrive on open connections are rejected: the process might be killed before an endpoint has responded.
 func (s *Server) rejectsRequests() bool {
