--- a/internal/ingress/benchmark_test.go
+++ b/internal/ingress/benchmark_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"net/http"
 	"testing"
 
-	"github.com/sirupsen/logrus"
-
 	"ottershed/decision"
 	"ottershed/internal/clock"
 	"ottershed/internal/engine"
@@ -24,12 +21,10 @@
 // startForBenchmark starts a server on loopback and returns its address.
 func startForBenchmark(b *testing.B, result engine.Result) string {
 	b.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	server := New(immediateEngine{result}, clock.New(), decision.Settings{Classes: []decision.RequestClass{
 		{Name: "read", Idempotency: decision.Idempotent},
 		{Name: "mark", Idempotency: decision.IdempotentWithKey},
-	}}, settings.Network{MaxClientTimeout: 2000, ResponseGracePeriod: 20}, 100, log)
+	}}, settings.Network{MaxClientTimeout: 2000, ResponseGracePeriod: 20}, 100, quietLog())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
