--- a/cmd/balancer/holdup_test.go
+++ b/cmd/balancer/holdup_test.go
@@ -16,8 +16,8 @@
 
 // Flags that make the soak of held-up shutdowns longer, or repeat a round of it.
 var (
-	holdUpRounds = flag.Int("holdup-rounds", 16, "number of rounds of TestHeldUpShutdownAnswersAll")
-	holdUpSeed   = flag.Int("holdup-seed", 61, "seed of the first round of TestHeldUpShutdownAnswersAll")
+	holdUpRounds = flag.Int("holdup-rounds", 16, "number of rounds of TestHeldUpShutdownRespondsToAll")
+	holdUpSeed   = flag.Int("holdup-seed", 61, "seed of the first round of TestHeldUpShutdownRespondsToAll")
 )
 
 const (
@@ -133,9 +133,9 @@
 	return c.readResponse()
 }
 
-// checkAnswered fails the test if the client got no response to a request that an endpoint has received, or that came so
+// checkResponse fails the test if the client got no response to a request that an endpoint has received, or that came so
 // early that the instance had to read it. Later ones may cross the close of an idle connection.
-func (c *shutdownClient) checkAnswered(t *testing.T, platform *platformStub, terminatedAt time.Time) {
+func (c *shutdownClient) checkResponse(t *testing.T, platform *platformStub, terminatedAt time.Time) {
 	t.Helper()
 	sentAfter, runs := c.sentAt.Sub(terminatedAt), platform.runsOf(c.id)
 	if c.err != nil && (runs > 0 || sentAfter < lastCertain) {
@@ -146,7 +146,7 @@
 
 // A soak on separate processes: endpoints hang from SIGTERM on, and the process is held up for 0.14 s at a random time of
 // its shutdown. Guards against taken requests that get no response because a time limit is looked at late.
-func TestHeldUpShutdownAnswersAll(t *testing.T) {
+func TestHeldUpShutdownRespondsToAll(t *testing.T) {
 	for round := range *holdUpRounds {
 		seed := uint64(*holdUpSeed + round)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -156,7 +156,7 @@
 	}
 }
 
-// holdUpShutdown runs one round of TestHeldUpShutdownAnswersAll.
+// holdUpShutdown runs one round of TestHeldUpShutdownRespondsToAll.
 func holdUpShutdown(t *testing.T, seed uint64) {
 	t.Helper()
 	platform := newPlatformStub(t)
@@ -194,7 +194,7 @@
 		t.Errorf("process ended with %v, want exit code 0", process.err)
 	}
 	for _, c := range clients {
-		c.checkAnswered(t, platform, terminatedAt)
+		c.checkResponse(t, platform, terminatedAt)
 		if c.connection != nil {
 			_ = c.connection.Close() // the instance may have closed it
 		}
