Ingress tests: doc comments back at the drain's tests, one check for queued connections

The two tests of queued connections had the same body but for the listener. checkQueuedConnections serves both; the one with the hold-up now asks for Retry-After too. Test code only.

--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -12,6 +12,8 @@
 	"ottershed/internal/engine"
 )
 
+// A draining server responds 503 on /up, serves requests for the grace period, closes connections after their responses,
+// and ends when every request has its response.
 func TestDrainServesGracePeriodThenEnds(t *testing.T) {
 	server, fake, address := start(t, 10)
 	readiness := func(c *client) int {
@@ -52,6 +54,7 @@
 	}
 }
 
+// slowListener is a listener whose Accept returns errors 50 ms late.
 type slowListener struct{ net.Listener }
 
 func (s slowListener) Accept() (net.Conn, error) {
@@ -62,6 +65,7 @@
 	return c, err
 }
 
+// Drain without open requests returns no error, also if http.Server notices late that the listener is closed.
 func TestDrainWithoutOpenRequests(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -83,6 +87,7 @@
 	}
 }
 
+// gatedListener is a listener whose Accept waits until the test sends on accept or closes it.
 type gatedListener struct {
 	*net.TCPListener
 	accept chan struct{}
@@ -93,6 +98,7 @@
 	return l.TCPListener.Accept()
 }
 
+// drain calls Drain without a grace period and waits until the server is closing. The channel receives the result.
 func drain(server *Server) chan error {
 	drained := make(chan error, 1)
 	go func() { drained <- server.Drain(0) }()
@@ -102,18 +108,27 @@
 	return drained
 }
 
+// A request on a connection that is still in the accept queue when the server starts closing gets its response.
 func TestDrainRespondsToQueuedConnections(t *testing.T) {
-	l := gatedListener{listen(t), make(chan struct{})}
-	server, _ := serve(t, l, 10, nil)
-	clients := []*client{dial(t, l.Addr().String()), dial(t, l.Addr().String()), dial(t, l.Addr().String())}
+	gated := gatedListener{listen(t), make(chan struct{})}
+	checkQueuedConnections(t, gated, gated)
+}
+
+// checkQueuedConnections drains a server with requests on connections in the accept queue, and fails the test unless each
+// is rejected with a response. The server accepts from listener, which calls gated.
+func checkQueuedConnections(t *testing.T, gated gatedListener, listener net.Listener) {
+	t.Helper()
+	server, _ := serve(t, listener, 10, nil)
+	clients := []*client{dial(t, gated.Addr().String()), dial(t, gated.Addr().String()), dial(t, gated.Addr().String())}
 	for _, c := range clients {
 		c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
 	}
 	drained := drain(server)
-	close(l.accept)
-	for _, c := range clients {
+	close(gated.accept)
+	for i, c := range clients {
 		if res, _ := c.readResponse(); res.StatusCode != 503 || !res.Close || res.Header.Get("Retry-After") == "" {
-			t.Errorf("response: got status %d, close %v; want 503 with Retry-After, true", res.StatusCode, res.Close)
+			t.Errorf("client %d: got status %d (0: closed without a response), close %v; want 503 with Retry-After, true",
+				i, res.StatusCode, res.Close)
 		}
 	}
 	if err := <-drained; err != nil {
@@ -121,6 +136,7 @@
 	}
 }
 
+// A draining server waits for a connection that was accepted but is not yet known to http.Server.
 func TestDrainCountsAcceptedConnection(t *testing.T) {
 	accepted, release := make(chan struct{}), make(chan struct{})
 	l := listen(t)
@@ -148,6 +164,8 @@
 	}
 }
 
+// While the server is closing, a request of which a part was read is rejected at once, a new connection has its grace
+// period, and an open request with a long deadline gets its response.
 func TestDrainWithPartialNewAndOpenRequests(t *testing.T) {
 	l := listen(t)
 	server, fake := serve(t, l, 10, nil)
@@ -180,6 +198,7 @@
 	}
 }
 
+// A connection without a byte is not closed before newConnectionGrace, also by a closing server.
 func TestUnusedConnectionHasGracePeriod(t *testing.T) {
 	l, tracked := listen(t), make(chan struct{})
 	server, _ := serve(t, l, 10, func(server *Server) {
@@ -207,6 +226,7 @@
 	}
 }
 
+// Serve returns nil after Drain was called first, and closes the listener.
 func TestDrainBeforeServe(t *testing.T) {
 	server := New(fakeEngine{}, clock.New(), decision.Settings{}, testNetwork, 10, quietLog())
 	if err := server.Drain(0); err != nil {
--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -106,21 +106,7 @@
 func TestDrainAcceptsQueuedConnectionsAfterHoldUp(t *testing.T) {
 	gated := gatedListener{listen(t), make(chan struct{})}
 	holdUp := sync.OnceFunc(func() { time.Sleep(maxHoldUp) })
-	server, _ := serve(t, heldUpListener{gated, holdUp}, 10, nil)
-	clients := []*client{dial(t, gated.Addr().String()), dial(t, gated.Addr().String()), dial(t, gated.Addr().String())}
-	for _, c := range clients {
-		c.send("GET /read/1", "X-Time-Left: 1\r\n", "")
-	}
-	drained := drain(server)
-	close(gated.accept)
-	for i, c := range clients {
-		if res, _ := c.readResponse(); res.StatusCode != http.StatusServiceUnavailable || !res.Close {
-			t.Errorf("client %d: got status %d (0: closed without a response), close %v; want 503, true", i, res.StatusCode, res.Close)
-		}
-	}
-	if err := <-drained; err != nil {
-		t.Errorf("Drain: got error %v, want none", err)
-	}
+	checkQueuedConnections(t, gated, heldUpListener{gated, holdUp})
 }
 
 // deadlineHoldUpWriter is a response writer. The process is held up after its handler has set a read deadline.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -340,8 +340,6 @@
 	}
 }
 
-// A draining server responds 503 on /up, serves requests for the grace period, closes connections after their responses,
-// and ends when every request has its response.
 // While hundreds of clients connect and send nothing, the connections of other clients stay open and new ones are served.
 func TestSilentClientsDoNotBlockOthers(t *testing.T) {
 	server, fake, address := start(t, 16)
@@ -441,15 +439,6 @@
 	return len(l.conns.entries)
 }
 
-// slowListener is a listener whose Accept returns errors 50 ms late.
-// Drain without open requests returns no error, also if http.Server notices late that the listener is closed.
-// gatedListener is a listener whose Accept waits until the test sends on accept or closes it.
-// drain calls Drain without a grace period and waits until the server is closing. The channel receives the result.
-// A request on a connection that is still in the accept queue when the server starts closing gets its response.
-// A draining server waits for a connection that was accepted but is not yet known to http.Server.
-// While the server is closing, a request of which a part was read is rejected at once, a new connection has its grace
-// period, and an open request with a long deadline gets its response.
-// A connection without a byte is not closed before newConnectionGrace, also by a closing server.
 // pendingCount returns the number of connections that carry a request without a response.
 func (l *connLimiter) pendingCount() (n int) {
 	l.mu.Lock()
@@ -462,7 +451,6 @@
 	return n
 }
 
-// Serve returns nil after Drain was called first, and closes the listener.
 // Before SetReady a server responds 503 on /up and rejects requests with Retry-After. None of them reaches the engine.
 func TestNotReadyRejectsRequests(t *testing.T) {
 	l := listen(t)
