--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 //	messages.go   messages in the queue and their handlers
 //	actions.go    execution of the module's actions
 //	requests.go   open requests and their attempts
+//	requestlog.go debug lines on each step of a request
 //	endpoints.go  endpoints and their addresses
 //	timers.go     timers of the module
 //	recovery.go   restart of the module after a panic
@@ -56,6 +57,7 @@
 	recovery  recovery
 	followUps []decision.Event // events caused by the current actions; passed to the module after them
 	stats     statsCounter
+	trace     requestLog
 }
 
 // module is the interface of the decision module.
@@ -78,6 +80,7 @@
 	return &core{
 		module:    start(seed),
 		log:       log,
+		trace:     newRequestLog(log),
 		post:      post,
 		requests:  requestTable{open: map[decision.RequestID]*openRequest{}},
 		endpoints: map[decision.EndpointID]Endpoint{},
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -47,6 +47,7 @@
 	remaining := request.Remaining - (now - request.ReceivedAt)
 	c.stats.counters.Requests++
 	c.requests.add(request, now+remaining)
+	c.trace.received(request, remaining)
 	c.dispatch(now, decision.RequestReceived{
 		Request: request.id, Class: request.Class, Tenant: request.Tenant, Key: request.Key, Remaining: remaining,
 		EstimatedServiceTime: request.EstimatedServiceTime, Retried: request.Retried,
@@ -61,6 +62,7 @@
 	}
 	open.finished = true
 	c.stats.counters.ClientsDisconnected++
+	c.trace.clientDisconnected(request, open.inFlight)
 	c.dispatch(now, decision.ClientDisconnected{Request: request.id})
 	c.requests.removeIfDone(request.id, open)
 }
@@ -76,6 +78,7 @@
 	index := len(open.attempts)
 	open.attempts = append(open.attempts, attempt{endpoint: start.Endpoint, startedAt: now})
 	open.inFlight++
+	c.trace.attemptStarted(open.request, index, start.Endpoint)
 	onResult := func(result AttemptResult) { c.post(attemptEnded{start.Request, index, result}) }
 	address := c.endpoints[start.Endpoint].Address
 	if address == "" || open.finished || now >= open.deadline {
@@ -100,6 +103,7 @@
 		return
 	}
 	if canceled := open.attempts[action.Attempt]; !canceled.ended {
+		c.trace.attemptCanceled(open.request, action.Attempt)
 		canceled.cancel()
 	}
 }
@@ -120,10 +124,12 @@
 	if outcome == decision.Succeeded && !open.finished {
 		c.respond(now, open, Result{Kind: Succeeded, Response: msg.result.Response})
 	}
-	c.dispatch(now, decision.AttemptEnded{
+	event := decision.AttemptEnded{
 		Request: msg.id, Outcome: outcome, Endpoint: ended.endpoint, Attempt: msg.attempt,
 		After: max(0, msg.result.EndedAt-ended.startedAt), RequestEnded: open.finished, Load: msg.result.Load,
-	})
+	}
+	c.trace.attemptEnded(open.request, msg.attempt, event)
+	c.dispatch(now, event)
 	if outcome == decision.Succeeded && open.request.Key != "" {
 		c.cancelUnsentForKey(open.request.Key, c.endpoints[ended.endpoint].Build)
 	}
@@ -161,5 +167,6 @@
 	}
 	open.finished = true
 	c.stats.countResult(now, result.Kind, open.request)
+	c.trace.responded(open.request, result.Kind)
 	open.request.Respond(result)
 }
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -19,6 +19,7 @@
 
 // ClientRequest holds a client's request with the data that the decision module needs to route it.
 type ClientRequest struct {
+	CorrelationID        string // the client's id of the request
 	Class                decision.ClassName
 	Tenant               decision.TenantID
 	Key                  decision.Key    // sticky key; empty if there is none
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -82,7 +82,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.conns.entries) > l.maxConnections+l.maxConnections/8 && !l.state.reached(closing) {
-		if l.conns.evictOne() {
+		if l.evict() {
 			continue
 		}
 		// No state change signals the end of an unused connection's grace period.
@@ -111,10 +111,19 @@
 	}
 	l.fullLogged = l.fullLogged && len(l.conns.entries) > l.maxConnections/2
 	if len(l.conns.entries) > l.maxConnections {
-		l.conns.evictOne()
+		l.evict()
 	}
 }
 
+// evict closes one connection that carries no request, and reports whether there was one; l.mu must be held.
+func (l *connLimiter) evict() bool {
+	evicted := l.conns.evictOne()
+	if evicted {
+		l.log.WithField("connections", len(l.conns.entries)).Debug("connection evicted")
+	}
+	return evicted
+}
+
 // full reports whether a request must be rejected because the connection limit, which bounds file descriptors and memory,
 // is exceeded. Unused connections do not count, since they can be evicted.
 func (l *connLimiter) full() bool {
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -67,18 +67,18 @@
 		err = errMayHaveRun
 	}
 	if err != nil {
-		respondError(w, err)
+		s.refuse(w, r, err)
 		return
 	}
 	body := readBody(w, r)
 	if !s.openIDs.claim(parsed.correlationID) {
-		respondError(w, errCorrelationIDInUse)
+		s.refuse(w, r, errCorrelationIDInUse)
 		return
 	}
 	release := sync.OnceFunc(func() { s.openIDs.release(parsed.correlationID) })
 	defer release()
 	request := &engine.ClientRequest{
-		Class: parsed.class.Name, Tenant: parsed.tenant, Key: stickyKey(r.URL.RawQuery), Remaining: parsed.remaining,
+		CorrelationID: parsed.correlationID, Class: parsed.class.Name, Tenant: parsed.tenant, Key: stickyKey(r.URL.RawQuery), Remaining: parsed.remaining,
 		ReceivedAt: receivedAt, Retried: r.Header.Get(headerRetried) == "1",
 		Request: &engine.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body},
 	}
@@ -87,6 +87,12 @@
 	next.ServeHTTP(w, r.WithContext(ctx))
 }
 
+// refuse responds to a request that is not passed to the engine, and closes its connection.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	s.log.WithError(err).WithField("id", r.Header.Get(headerCorrelationID)).Debug("request refused")
+	respondError(w, err)
+}
+
 // mayHaveRun reports whether a request is a resumed one that an endpoint may already have run for an instance that has
 // disappeared. Such a request is not sent to an endpoint again; the client gets errMayHaveRun at once.
 func (s *Server) mayHaveRun(r *http.Request, parsed parsedRequest) bool {
@@ -126,6 +132,7 @@
 // transport of the reverse proxy. The error is that of the context if the client has disconnected.
 func (s *Server) RoundTrip(r *http.Request) (*http.Response, error) {
 	if s.rejectsRequests() {
+		s.log.WithField("id", pendingRequestOf(r).request.CorrelationID).Debug("request rejected without the engine")
 		res := newResponse(r, engine.Result{Kind: engine.Rejected, RetryAfter: s.retryAfter})
 		res.Close = true
 		return res, nil
@@ -144,6 +151,7 @@
 	case <-overdue.C:
 		return newResponse(r, s.overdueResult(request, results)), nil
 	case <-r.Context().Done():
+		s.log.WithField("id", request.CorrelationID).Debug("client disconnected")
 		s.engine.ClientDisconnected(request)
 		return nil, r.Context().Err()
 	}
