--- a/cmd/balancer/platform_test.go
+++ b/cmd/balancer/platform_test.go
@@ -50,13 +50,17 @@
 	controllerLines atomic.Int32 // lines that the controller has received
 
 	mu                sync.Mutex
-	nonIdempotentRuns map[string]int // how often endpoints received each POST request, by its X-Correlation-Id
+	nonIdempotentRuns map[string]int         // how often endpoints received each POST request, by its X-Correlation-Id
+	attemptTimes      map[string][]time.Time // when endpoints received each request, by its X-Correlation-Id
+	hold              <-chan struct{}        // if not nil, endpoints reject each request but servedID's once it is closed
 }
 
 // newPlatformStub starts the stubs. The end of the test stops them.
 func newPlatformStub(t *testing.T) *platformStub {
 	t.Helper()
-	p := &platformStub{nonIdempotentRuns: map[string]int{}, done: make(chan struct{})}
+	p := &platformStub{
+		nonIdempotentRuns: map[string]int{}, attemptTimes: map[string][]time.Time{}, done: make(chan struct{}),
+	}
 	p.version.Store(1)
 	controller, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,10 +83,9 @@
 func (p *platformStub) controllerAddress() string { return p.controller.Addr().String() }
 
 func (p *platformStub) serveEndpoint(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPost {
-		p.mu.Lock()
-		p.nonIdempotentRuns[r.Header.Get("X-Correlation-Id")]++
-		p.mu.Unlock()
+	if hold := p.recordAttempt(r); hold != nil {
+		rejectOnceReleased(w, r, hold)
+		return
 	}
 	switch endpointFault(p.fault.Load()) {
 	case respondsError:
@@ -99,6 +102,65 @@
 	_, _ = io.WriteString(w, "hi") // the balancer may have cancelled the attempt
 }
 
+// servedID is the X-Correlation-Id of requests that are served in spite of holdAttempts.
+const servedID = "served"
+
+// recordAttempt records a request that an endpoint has received. It returns p.hold, or nil for a request that is served.
+func (p *platformStub) recordAttempt(r *http.Request) (hold <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := r.Header.Get("X-Correlation-Id")
+	p.attemptTimes[id] = append(p.attemptTimes[id], time.Now())
+	if p.hold != nil && id != servedID {
+		return p.hold
+	}
+	if r.Method == http.MethodPost {
+		p.nonIdempotentRuns[id]++
+	}
+	return nil
+}
+
+// rejectOnceReleased rejects a request, without running it, once release is closed. If the balancer gives up before, it
+// does nothing.
+func rejectOnceReleased(w http.ResponseWriter, r *http.Request, release <-chan struct{}) {
+	_, _ = io.ReadAll(r.Body) // the balancer may cancel the attempt
+	select {
+	case <-release:
+		w.Header().Set("X-Unprocessed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case <-r.Context().Done():
+	}
+}
+
+// holdAttempts makes the endpoints reject each request but servedID's, and not before release is closed.
+func (p *platformStub) holdAttempts(release <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hold = release
+}
+
+// attempts returns how many attempts of a request the endpoints have received.
+func (p *platformStub) attempts(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.attemptTimes[id])
+}
+
+// attemptsAfter returns the ids of the requests of which endpoints received attempts after a time, with their numbers.
+func (p *platformStub) attemptsAfter(latest time.Time) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := map[string]int{}
+	for id, times := range p.attemptTimes {
+		for _, at := range times {
+			if at.After(latest) {
+				late[id]++
+			}
+		}
+	}
+	return late
+}
+
 // serveEndpointList responds to a poll at once, and to a watch as soon as its version is no longer the newest.
 func (p *platformStub) serveEndpointList(w http.ResponseWriter, r *http.Request) {
 	p.discoveryCalls.Add(1)
@@ -189,8 +251,14 @@
 // configFile returns the configuration of config and the path of its file.
 func (p *platformStub) configFile(t *testing.T) (*config.Config, string) {
 	t.Helper()
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","platform":{"address":%q},"settings":%s}`,
-		closedAddress(t), p.agentAddress(), p.controllerAddress(), testSettings)
+	return p.configFileWith(t, testSettings, "{}")
+}
+
+// configFileWith returns a configuration with the given settings and limits, as JSON, and the path of its file.
+func (p *platformStub) configFileWith(t *testing.T, settings, limits string) (*config.Config, string) {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","platform":{"address":%q},"settings":%s,"limits":%s}`,
+		closedAddress(t), p.agentAddress(), p.controllerAddress(), settings, limits)
 	path := writeFile(t, filepath.Join(t.TempDir(), "config.json"), text)
 	cfg, err := config.Read(path, noEnvironment)
 	if err != nil {
