Client connections: further input no longer hides that a client has left

Cause: while a request is served, http.Server waits for its client's leaving by a read of one byte. If a byte of a further request comes, it keeps that byte and looks no further (net/http, backgroundRead), so the end behind it is not seen and the request's context never ends.

Fix: that read no longer returns a byte. sockopt.Conn reads further input ahead, up to 16 KiB, and the read ends with the connection alone.

--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -25,6 +25,11 @@
 	bufferSize int  // size of the reader's buffer in bytes, from its first read; 0: unknown
 	closed     bool // set by CloseIfIdle
 	timedOut   bool // a read after the deadline has found nothing; reset by SetReadDeadline
+	deadline   bool // a read deadline is set
+
+	reading bool   // Read is in progress for a request, and not only to wait for the end of the connection
+	ahead   []byte // input that Peer has read ahead, at most maxReadAhead bytes; nil if there is none
+	ended   error  // io.EOF, or the error of the socket, that Peer has found instead of further input
 }
 
 // NewConn wraps an accepted connection. headTimeout limits the time from the first byte of a request to the end of its
@@ -40,12 +45,21 @@
 // a deadline that passes within a request ends only the wait: Read still returns bytes that have arrived, until it finds
 // none. They may have arrived in time, while the process was held up, and the request would be lost with them.
 //
+// A read of a single byte without a deadline returns no byte: it waits until the peer closes the connection. http.Server reads
+// so while a request is served, to learn that its client has left. If it got the first byte of a further request, it would
+// look no further, and the close behind that byte would not end the request.
+//
 // After CloseIfIdle has closed the connection, the error wraps [net.ErrClosed]. Read may be called by one goroutine at a
 // time.
 func (c *Conn) Read(buffer []byte) (n int, err error) {
 	if len(buffer) == 0 {
 		return 0, nil
 	}
+	if c.isWatchingRead(len(buffer)) {
+		return 0, c.awaitClose()
+	}
+	c.setReading(true)
+	defer c.setReading(false)
 	var readErr error
 	var requestStarts bool // a further request starts with this read
 	tryRead := func(fd uintptr) bool {
@@ -56,7 +70,7 @@
 			return true
 		}
 		requestStarts = c.awaitsRequest(len(buffer)) || requestStarts
-		n, readErr = readFD(int(fd), buffer)
+		n, readErr = c.readAvailable(int(fd), buffer)
 		if n > 0 {
 			c.pending = true
 			c.responded = false
@@ -70,7 +84,7 @@
 	switch {
 	case err != nil:
 		return 0, err
-	case readErr != nil:
+	case readErr != nil && !errors.Is(readErr, io.EOF):
 		return 0, os.NewSyscallError("read", readErr)
 	case n == 0:
 		return 0, io.EOF
@@ -81,6 +95,33 @@
 	return n, nil
 }
 
+// setReading records whether Read is in progress for a request.
+func (c *Conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
+// readAvailable reads what is there, first the bytes that were read ahead; c.mu must be held. The error is one of the socket,
+// EAGAIN if nothing is there.
+func (c *Conn) readAvailable(fd int, buffer []byte) (int, error) {
+	switch {
+	case len(c.ahead) > 0:
+		return c.takeAhead(buffer), nil
+	case c.ended != nil:
+		return 0, c.ended
+	}
+	return readFD(fd, buffer)
+}
+
+// isWatchingRead reports whether a read of readSize bytes is one by which http.Server waits for the end of the connection.
+// While it reads a request, there is always a deadline.
+func (c *Conn) isWatchingRead(readSize int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return readSize == 1 && !c.deadline
+}
+
 // awaitsRequest reports whether the reader waits for the next request and has buffered nothing of it, given the size of
 // the slice that it reads into. In this case no request is pending. c.mu must be held. The reader reads ahead: its
 // buffer is empty only if it reads into the whole buffer.
@@ -116,6 +157,7 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	c.timedOut = false
+	c.deadline = !deadline.IsZero()
 	c.mu.Unlock()
 	return c.TCPConn.SetReadDeadline(deadline)
 }
@@ -159,7 +201,7 @@
 // connection. It may be called from any goroutine.
 func (c *Conn) CloseIfIdle() bool {
 	c.mu.Lock()
-	c.closed = c.closed || !c.pending && isIdle(c.raw)
+	c.closed = c.closed || !c.pending && len(c.ahead) == 0 && isIdle(c.raw)
 	closed := c.closed
 	c.mu.Unlock() // Close waits for the reader, which may wait for the lock
 	if closed {
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -1,16 +1,17 @@
-// Package sockopt adds three operations to the connections and listeners of package net: checking a connection for input
-// without reading from it, checking the accept queue of a listener without accepting, and closing a client's connection
-// from another goroutine than its reader if no request is in progress.
+// Package sockopt adds four operations to the connections and listeners of package net: checking a connection for input
+// without reading from it, seeing that its peer has closed it behind unread input, checking the accept queue of a listener
+// without accepting, and closing a client's connection from another goroutine than its reader if no request is in progress.
 //
 // [IsIdle] checks idle connections to endpoints. [HasQueuedConnection] checks a listener. [NewConn] wraps an accepted
 // connection. Its server calls [Conn.MarkResponded] after each response, and a goroutine that needs the descriptor calls
-// [Conn.CloseIfIdle].
+// [Conn.CloseIfIdle]. [Conn.Peer] tells whether the client has left.
 //
 // # Files
 //
 //	idle.go      IsIdle
 //	listener.go  HasQueuedConnection
 //	conn.go      Conn: reading from a client's connection and closing it
+//	peer.go      whether the peer of a Conn has closed it
 package sockopt
 
 import (
@@ -28,8 +29,7 @@
 func isIdle(raw syscall.RawConn) bool {
 	idle := false
 	err := raw.Control(func(fd uintptr) {
-		var peeked [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := peekByte(int(fd))
 		idle = errors.Is(err, syscall.EAGAIN)
 	})
 	return err == nil && idle
--- /dev/null
+++ b/internal/sockopt/peer.go
@@ -0,0 +1,149 @@
+package sockopt
+
+import (
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// PeerState tells whether the peer of a connection has closed it.
+type PeerState int
+
+// The states of a peer.
+const (
+	// PeerOpen: the peer has not closed the connection.
+	PeerOpen PeerState = iota
+	// PeerClosed: the peer has closed or reset the connection, or has shut down its sending side.
+	PeerClosed
+	// PeerUnknown: there is so much unread input that the end of the connection may be behind it.
+	PeerUnknown
+)
+
+const (
+	// maxReadAhead is the number of bytes that Peer reads ahead at most, to see the end of the connection behind them. A
+	// higher value needs more memory for each connection whose client sends requests without waiting for responses, and
+	// lets more of these requests be served.
+	maxReadAhead = 16 << 10
+	// readAheadStep is the size of one read ahead.
+	readAheadStep = 4 << 10
+)
+
+// Peer returns the state of the connection's peer. It sees the end of the connection behind unread input, by reading the input
+// ahead. A look at the socket alone does not suffice: the peer's end is sent only after all its bytes, and these wait at the
+// peer while the receive window is closed. Peer does not wait, and may be called from any goroutine. A connection that this
+// side has closed counts as closed by the peer.
+func (c *Conn) Peer() PeerState {
+	state := PeerClosed
+	_ = c.raw.Control(func(fd uintptr) { state = c.lookAhead(int(fd)) }) // an error means that this side has closed it
+	return state
+}
+
+// lookAhead returns the state of the peer. It reads ahead unless a Read is in progress: that Read waits for input, and
+// would not be woken for bytes that were taken from the socket meanwhile.
+func (c *Conn) lookAhead(descriptor int) PeerState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.ended != nil {
+		return PeerClosed
+	}
+	for !c.reading && len(c.ahead) < maxReadAhead {
+		n, err := c.readAhead(descriptor)
+		switch {
+		case n > 0:
+			continue
+		case errors.Is(err, syscall.EAGAIN):
+			return PeerOpen
+		}
+		c.end(err)
+		return PeerClosed
+	}
+	return socketState(descriptor)
+}
+
+// readAhead reads up to readAheadStep bytes of what is there. c.mu must be held.
+func (c *Conn) readAhead(descriptor int) (n int, err error) {
+	if len(c.ahead) == 0 {
+		if n, err = peekByte(descriptor); n <= 0 {
+			return n, err // no memory is needed
+		}
+	}
+	c.ahead = slices.Grow(c.ahead, readAheadStep)
+	have := len(c.ahead)
+	n, err = readFD(descriptor, c.ahead[have:min(have+readAheadStep, maxReadAhead)])
+	c.ahead = c.ahead[:have+max(n, 0)]
+	return n, err
+}
+
+// end records that no input follows, and discards the requests that were read ahead. err is nil for the end of the input.
+func (c *Conn) end(err error) {
+	c.ended = err
+	if err == nil {
+		c.ended = io.EOF
+	}
+	c.ahead = nil
+}
+
+// takeAhead moves bytes that were read ahead to buffer.
+func (c *Conn) takeAhead(buffer []byte) int {
+	n := copy(buffer, c.ahead)
+	c.ahead = c.ahead[n:]
+	if len(c.ahead) == 0 {
+		c.ahead = nil // frees the memory
+	}
+	return n
+}
+
+// socketState returns what the socket shows of its peer without reading.
+func socketState(fd int) PeerState {
+	n, err := peekByte(fd)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return PeerOpen
+	case err != nil, n == 0, hungUp(fd):
+		return PeerClosed
+	}
+	return PeerUnknown
+}
+
+// peekByte receives a byte and leaves it in the socket. It repeats the call if a signal interrupts it. Zero bytes without an
+// error mean that the peer has shut down its sending side and all input was read.
+func peekByte(fd int) (n int, err error) {
+	for {
+		var peeked [1]byte
+		n, _, err = syscall.Recvfrom(fd, peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
+// hungUp reports whether poll(2) shows the end of the connection or an error, possibly behind unread input. It repeats the
+// call if a signal interrupts it; any other error shows nothing.
+func hungUp(fd int) bool {
+	for {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(polled, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return err == nil && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	}
+}
+
+// awaitClose waits until the peer has closed the connection, and returns io.EOF then. The bytes of a further request do not
+// end the wait; they are read ahead. It returns early at the read deadline, or if this side closes the connection.
+func (c *Conn) awaitClose() error {
+	err := c.raw.Read(func(fd uintptr) bool { return c.lookAhead(int(fd)) == PeerClosed })
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return io.EOF
+}
