An attempt begins only while its client is known to wait

Cause: nobody asked for the client when an attempt began. Its leaving came as a message to the event loop, beside the request itself; with an open connection to an endpoint the attempt was written first. And input beyond any buffer leaves it open whether the client is there.

Fix: the ingress looks for the client before the engine gets a request, the upstream right before each attempt is sent, first or further (Attempt.MaySend). Where more is unread than is read ahead, it is unknown whether the client waits: the request is rejected with 503 and Retry-After, and no further attempt is sent. The connection stays open, so that the requests behind get their answers.

Tests changed: of 500 requests sent at once (50 KB), TestRequestFloodIsBounded took 500, or 503 with a close; now 500, or 503 with Retry-After, and no close in either, as a close would lose the rest.

--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -91,7 +91,7 @@
 		deadline = min(deadline, now+start.Timeout)
 	}
 	open.attempts[index].cancel = c.upstream.StartAttempt(Attempt{
-		Endpoint: start.Endpoint, Address: address, Request: open.request.Request,
+		Endpoint: start.Endpoint, Address: address, Request: open.request.Request, MaySend: open.request.MaySend,
 		SendBy: start.SendBy, Deadline: deadline, OnResult: onResult,
 	})
 }
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -29,6 +29,10 @@
 	Retried              bool            // the client repeats an earlier request
 	Request              *Request
 
+	// MaySend reports whether attempts may still be sent: whether the client is known to wait for the result. It is called
+	// right before each attempt is sent, from any goroutine, and must not block. If it is nil, attempts may be sent.
+	MaySend func() bool
+
 	// Respond receives the result. The event loop calls Respond at most once, and not after it has handled
 	// ClientDisconnected. Respond must not block.
 	Respond func(Result)
@@ -58,6 +62,7 @@
 	Endpoint decision.EndpointID
 	Address  string
 	Request  *Request
+	MaySend  func() bool     // see ClientRequest.MaySend
 	SendBy   decision.Millis // time before which the request must be sent; 0 means Deadline
 	Deadline decision.Millis // time at which the attempt times out
 
--- a/internal/ingress/closing_test.go
+++ b/internal/ingress/closing_test.go
@@ -134,6 +134,19 @@
 	return response.Close
 }
 
+// readFailedOrKept reads a response and checks that it is a 500 for failedResult, or a 503 with Retry-After, and that it
+// keeps the connection open for the requests behind it. It returns the status.
+func (c *client) readFailedOrKept() (status int) {
+	c.t.Helper()
+	response, _ := c.readResponse()
+	rejected := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+	if response.StatusCode != http.StatusInternalServerError && !rejected || response.Close {
+		c.t.Errorf("response: got status %d (0: closed without a response), %v, close %v; want 500, or 503 with Retry-After, no close",
+			response.StatusCode, response.Header, response.Close)
+	}
+	return response.StatusCode
+}
+
 // makeIdle sends a request, reads its response and waits until the server counts the connection as idle.
 func (c *client) makeIdle(server *Server) {
 	c.send("GET /up", "", "")
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -11,6 +11,7 @@
 	"ottershed/internal/clock"
 	"ottershed/internal/cluster/lease"
 	"ottershed/internal/engine"
+	"ottershed/internal/sockopt"
 )
 
 // pendingRequestKey is the context key of a pendingRequest.
@@ -131,6 +132,10 @@
 // RoundTrip passes a request to the engine, waits for its final result and returns that as a response. It is the
 // transport of the reverse proxy. The error is that of the context if the client has disconnected.
 func (s *Server) RoundTrip(r *http.Request) (*http.Response, error) {
+	client := clientConnOf(r.Context())
+	if client.Peer() == sockopt.PeerClosed {
+		return nil, errClientLeft
+	}
 	if s.rejectsRequests() {
 		s.log.WithField("id", pendingRequestOf(r).request.CorrelationID).Debug("request rejected without the engine")
 		res := newResponse(r, engine.Result{Kind: engine.Rejected, RetryAfter: s.retryAfter})
@@ -138,6 +143,11 @@
 		return res, nil
 	}
 	request := pendingRequestOf(r).request
+	if client.Peer() == sockopt.PeerUnknown {
+		s.log.WithField("id", request.CorrelationID).Debug("request rejected: too much unread input behind it")
+		return newResponse(r, engine.Result{Kind: engine.Rejected, RetryAfter: s.retryAfter}), nil
+	}
+	request.MaySend = func() bool { return client.Peer() == sockopt.PeerOpen }
 	request.Request.Header = r.Header
 	results := make(chan engine.Result, 1)
 	request.Respond = func(result engine.Result) { results <- result }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -73,6 +73,7 @@
 	server.httpServer = &http.Server{
 		Handler: server.handler(), ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: latestResult(n) + writeTimeout, ErrorLog: discardLog(), ConnState: server.limiter.track,
+		ConnContext: withClientConn,
 	}
 	return server
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -103,9 +103,10 @@
 
 // maySend reports whether an attempt may still be sent. A connection may come up just as its attempt is canceled,
 // before the deadline that interrupts the connection is set. A request sent then would reach the endpoint after the
-// client has its final response.
+// client has its final response. The client may also have left, and the engine not know it yet.
 func (p *Pool) maySend(ctx context.Context, run *attemptRun) bool {
-	return ctx.Err() == nil && p.targetAllowsSend(run.target) && time.Now().Before(p.sendBy(run))
+	clientWaits := run.attempt.MaySend == nil || run.attempt.MaySend()
+	return clientWaits && ctx.Err() == nil && p.targetAllowsSend(run.target) && time.Now().Before(p.sendBy(run))
 }
 
 // sendBy returns the time until which the request must be written: the attempt's SendBy if it is set, and no later than
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -453,9 +453,10 @@
 	}
 }
 
-// An attempt is not sent if it is canceled or its SendBy passes before the first byte. By then the request may have its
-// final response, or the endpoints may have forgotten the attempt that this one repeats.
+// An attempt is not sent if it is canceled, its SendBy passes or its client leaves before the first byte. By then the request
+// may have its final response, or the endpoints may have forgotten the attempt that this one repeats.
 func TestNotSentAfterCancelOrSendBy(t *testing.T) {
+	const clientLeft = "the client has left" // Host of a request whose client has left
 	for name, endSending := range map[string]func(cancel func(), attempt *engine.Attempt, pool *Pool){
 		"canceled": func(cancel func(), _ *engine.Attempt, _ *Pool) { cancel() },
 		"SendBy passed": func(_ func(), attempt *engine.Attempt, pool *Pool) {
@@ -463,6 +464,7 @@
 				time.Sleep(time.Millisecond)
 			}
 		},
+		"client left": func(_ func(), attempt *engine.Attempt, _ *Pool) { attempt.Request.Host = clientLeft },
 	} {
 		for _, when := range []string{"while connecting", "before the start"} {
 			t.Run(name+" "+when, func(t *testing.T) {
@@ -477,6 +479,7 @@
 					Endpoint: "n", Address: address, SendBy: now + 20, Deadline: now + 1000,
 					Request: &engine.Request{Method: "POST", URI: "/", Host: "h"},
 				}
+				attempt.MaySend = func() bool { return attempt.Request.Host != clientLeft }
 				if when == "before the start" {
 					pool.expireReuseDelay()
 					endSending(cancel, &attempt, pool)
