A request that may have run is not run again under its id

Cause: the ingress freed an id as soon as the handler of its request ended. It ends at once when the client leaves, while the attempt is out or has run. The same held for an id that came again after its response.

Fix: an id is taken until the last attempt of its request has ended (ClientRequest.OnEnd, called before the result where no attempt is left). Idempotent ones are free.

Fakes of the engine in tests call OnEnd as the engine does.

--- a/decision/retry.go
+++ b/decision/retry.go
@@ -215,7 +215,7 @@
 		return
 	}
 	att.inFlight = false
-	att.mayHaveRun = event.Outcome.mayHaveRun()
+	att.mayHaveRun = event.Outcome.MayHaveRun()
 	req.inFlight--
 	att.endpoint.inFlight--
 	b.load.inFlight--
--- a/decision/types.go
+++ b/decision/types.go
@@ -94,8 +94,8 @@
 	MalformedResponse         // the response cannot be parsed; the request may have run
 )
 
-// mayHaveRun reports whether the endpoint may have run the request.
-func (o Outcome) mayHaveRun() bool {
+// MayHaveRun reports whether the endpoint may have run the request.
+func (o Outcome) MayHaveRun() bool {
 	return o != EndpointRejected && o != Unreachable && o != NotSent
 }
 
--- a/internal/engine/helpers_test.go
+++ b/internal/engine/helpers_test.go
@@ -38,6 +38,9 @@
 	posted   []message
 	results  []string // of each request, as "KIND;RETRY_AFTER;HAS_RESPONSE"; empty without a result
 	starts   int      // how often a module was started
+	ends     []bool   // arguments of OnEnd of all requests
+
+	endsAtResult int // number of calls of OnEnd before the newest result
 }
 
 func newHarness() *harness {
@@ -106,7 +109,9 @@
 	index := len(h.results)
 	h.results = append(h.results, "")
 	request := &ClientRequest{Class: "read", Tenant: "t", Remaining: 500, ReceivedAt: 990, Request: &Request{}}
+	request.OnEnd = func(mayHaveRun bool) { h.ends = append(h.ends, mayHaveRun) }
 	request.Respond = func(result Result) {
+		h.endsAtResult = len(h.ends)
 		h.results[index] += fmt.Sprintf("%d;%g;%v", result.Kind, result.RetryAfter, result.Response != nil)
 	}
 	h.deliver(requestReceived{request}, actions...)
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -12,11 +12,13 @@
 
 // openRequest is a request that waits for its result or for the end of its attempts.
 type openRequest struct {
-	request  *ClientRequest
-	deadline decision.Millis // time at which the client gives up
-	finished bool            // the result was sent, or the client has disconnected
-	attempts []attempt       // in the order of their start; decision.AttemptEnded.Attempt is the index
-	inFlight int             // attempts that have not ended
+	request    *ClientRequest
+	deadline   decision.Millis // time at which the client gives up
+	finished   bool            // the result was sent, or the client has disconnected
+	mayHaveRun bool            // an attempt may have run
+	ended      bool            // OnEnd was called
+	attempts   []attempt       // in the order of their start; decision.AttemptEnded.Attempt is the index
+	inFlight   int             // attempts that have not ended
 }
 
 type attempt struct {
@@ -36,9 +38,21 @@
 	r.open[request.id] = &openRequest{request: request, deadline: deadline}
 }
 
+// endIfDone calls OnEnd of a request that has its result and no attempt in flight.
+func (o *openRequest) endIfDone() {
+	if o.ended || !o.finished || o.inFlight > 0 {
+		return
+	}
+	o.ended = true
+	if o.request.OnEnd != nil {
+		o.request.OnEnd(o.mayHaveRun)
+	}
+}
+
 // removeIfDone removes a request that has its result and no attempt in flight.
 func (r *requestTable) removeIfDone(id decision.RequestID, open *openRequest) {
-	if open.finished && open.inFlight == 0 {
+	open.endIfDone()
+	if open.ended {
 		delete(r.open, id)
 	}
 }
@@ -120,6 +134,7 @@
 	ended.cancel = nil
 	open.inFlight--
 	outcome := msg.result.Outcome
+	open.mayHaveRun = open.mayHaveRun || outcome.MayHaveRun()
 	c.stats.countOutcome(outcome)
 	if outcome == decision.Succeeded && !open.finished {
 		c.respond(now, open, Result{Kind: Succeeded, Response: msg.result.Response})
@@ -168,5 +183,6 @@
 	open.finished = true
 	c.stats.countResult(now, result.Kind, open.request)
 	c.trace.responded(open.request, result.Kind)
+	open.endIfDone()
 	open.request.Respond(result)
 }
--- a/internal/engine/requests_test.go
+++ b/internal/engine/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -195,6 +196,48 @@
 	}
 }
 
+// OnEnd is called once, when the request is over and its last attempt has ended, and then before the result. It says whether
+// an attempt may have run. Guards against an id that a new request gets while an attempt with it is out, or has run.
+func TestOnEndComesAfterLastAttempt(t *testing.T) {
+	start := decision.StartAttempt{Request: 1, Endpoint: "a"}
+	end := func(outcome decision.Outcome) message {
+		return attemptEnded{1, 0, AttemptResult{Outcome: outcome, EndedAt: 1001, Response: &Response{}}}
+	}
+	for name, test := range map[string]struct {
+		actions      []decision.Action
+		disconnects  bool
+		outcome      decision.Outcome
+		endsBefore   int  // calls of OnEnd before the outcome of the attempt is known
+		mayHaveRun   bool // argument of OnEnd
+		endsAtResult int  // calls of OnEnd before the result
+	}{
+		"rejected without an attempt":                   {[]decision.Action{decision.Reject{Request: 1}}, false, 0, 1, false, 1},
+		"succeeded":                                     {[]decision.Action{start}, false, decision.Succeeded, 0, true, 1},
+		"client disconnected, attempt ran":              {[]decision.Action{start}, true, decision.Canceled, 0, true, 0},
+		"client disconnected, attempt not sent":         {[]decision.Action{start}, true, decision.NotSent, 0, false, 0},
+		"client disconnected, no attempt":               {nil, true, 0, 1, false, 0},
+		"failed while an attempt is out, which ran":     {[]decision.Action{start, decision.Fail{Request: 1}}, false, decision.TimedOut, 0, true, 0},
+		"failed while an attempt is out, not connected": {[]decision.Action{start, decision.Fail{Request: 1}}, false, decision.Unreachable, 0, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness()
+			request := h.request(test.actions...)
+			if test.disconnects {
+				h.deliver(clientDisconnected{request})
+			}
+			if len(h.ends) != test.endsBefore {
+				t.Errorf("OnEnd: called %d times before the outcome, want %d", len(h.ends), test.endsBefore)
+			}
+			h.deliver(end(test.outcome))
+			h.deliver(end(test.outcome))
+			if !slices.Equal(h.ends, []bool{test.mayHaveRun}) || h.endsAtResult != test.endsAtResult {
+				t.Errorf("OnEnd: got calls %v, %d before the result; want one, %v, and %d", h.ends, h.endsAtResult, test.mayHaveRun,
+					test.endsAtResult)
+			}
+		})
+	}
+}
+
 // After a build has responded for a sticky key, an attempt that waits for its connection must not take the key back to
 // an earlier build. No other attempt is canceled.
 func TestStickyKeyResponseCancelsUnsentToEarlierBuilds(t *testing.T) {
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -37,6 +37,11 @@
 	// ClientDisconnected. Respond must not block.
 	Respond func(Result)
 
+	// OnEnd is called once the request has its result, or its client has disconnected, and all its attempts have ended. If
+	// no attempt is in flight when the result is known, the call comes before Respond. mayHaveRun reports whether an attempt
+	// may have run. The event loop calls OnEnd, which must not block. It may be nil.
+	OnEnd func(mayHaveRun bool)
+
 	id decision.RequestID // assigned by the event loop
 }
 
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -10,6 +10,8 @@
 //	parse.go      checks of the request line and headers
 //	errors.go     status code and text for each reason not to pass a request to the engine
 //	serve.go      handling of one request: parse, read the body, claim its id, wait for the result of the engine
+//	ids.go        correlation ids that new requests must not have
+//	departure.go  the connection of a request, to see whether its client has left
 //	response.go   results and errors as HTTP responses
 //	limits.go     connection limit: counting, eviction, rejection beyond the limit
 //	drain.go      lifecycle of the server, accepting while it drains, graceful shutdown
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -79,7 +79,7 @@
 	listenerErr := s.limiter.shutdown() // open requests get their responses all the same
 	connections := s.limiter.closeUnusedAndIdle()
 	s.log.WithFields(logrus.Fields{
-		"connections": connections, "open": s.openIDs.count(),
+		"connections": connections, "open": s.ids.count(),
 	}).Info("no longer accepting requests")
 	for connections > 0 {
 		s.sleep(drainPollInterval)
--- a/internal/ingress/errors.go
+++ b/internal/ingress/errors.go
@@ -25,6 +25,7 @@
 	errMissingIdempotencyKey
 	errMayHaveRun
 	errCorrelationIDInUse
+	errCorrelationIDExecuted
 	requestErrorCount int = iota
 )
 
@@ -49,6 +50,7 @@
 	errMissingIdempotencyKey:  {http.StatusBadRequest, "no " + headerIdempotencyKey},
 	errMayHaveRun:             {http.StatusInternalServerError, "it may have run"},
 	errCorrelationIDInUse:     {http.StatusConflict, headerCorrelationID + " is that of an open request"},
+	errCorrelationIDExecuted:  {http.StatusConflict, headerCorrelationID + " is that of a request that may have run"},
 }
 
 // Error returns the text of the response.
--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -221,6 +221,7 @@
 type heldUpEngine struct{ fakeEngine }
 
 func (h heldUpEngine) ReceiveRequest(request *engine.ClientRequest) {
+	request.OnEnd(true)
 	request.Respond(succeededResult(2)())
 	time.Sleep(clock.Duration(request.Remaining + 2*shortTimeouts.ResponseGracePeriod))
 }
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"ottershed/decision"
 	"ottershed/internal/clock"
 	"ottershed/internal/cluster/lease"
 	"ottershed/internal/engine"
@@ -20,7 +21,8 @@
 // pendingRequest carries a parsed request in its context through the reverse proxy, to RoundTrip and finishResponse.
 type pendingRequest struct {
 	request   *engine.ClientRequest
-	releaseID func() // releases the correlation id; later calls have no effect
+	id        *idClaim
+	releaseID func() // releases the handler's hold on the id; later calls have no effect
 }
 
 // pendingRequestOf returns the pendingRequest of a request that serveRequest has passed on.
@@ -28,36 +30,6 @@
 	return r.Context().Value(pendingRequestKey{}).(*pendingRequest)
 }
 
-// openIDs holds the correlation ids of open requests. Endpoints take two requests with the same id for copies of one, so
-// a second request with the id of an open one gets errCorrelationIDInUse.
-type openIDs struct {
-	mu  sync.Mutex
-	ids map[string]bool // release removes an id
-}
-
-// claim adds an id and reports whether it was free.
-func (o *openIDs) claim(id string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	free := !o.ids[id]
-	o.ids[id] = true
-	return free
-}
-
-// release removes an id.
-func (o *openIDs) release(id string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.ids, id)
-}
-
-// count returns the number of open requests.
-func (o *openIDs) count() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.ids)
-}
-
 // serveRequest checks a request, reads its whole body and passes it to next, the reverse proxy. The engine receives only
 // complete requests.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, next http.Handler) {
@@ -72,19 +44,21 @@
 		return
 	}
 	body := readBody(w, r)
-	if !s.openIDs.claim(parsed.correlationID) {
-		s.refuse(w, r, errCorrelationIDInUse)
+	id, err := s.ids.claim(parsed.correlationID)
+	if err != nil {
+		s.refuse(w, r, err)
 		return
 	}
-	release := sync.OnceFunc(func() { s.openIDs.release(parsed.correlationID) })
+	release := sync.OnceFunc(func() { id.release(false) })
 	defer release()
 	request := &engine.ClientRequest{
 		CorrelationID: parsed.correlationID, Class: parsed.class.Name, Tenant: parsed.tenant, Key: stickyKey(r.URL.RawQuery), Remaining: parsed.remaining,
 		ReceivedAt: receivedAt, Retried: r.Header.Get(headerRetried) == "1",
 		Request: &engine.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body},
+		OnEnd:   func(mayHaveRun bool) { id.release(mayHaveRun && parsed.class.Idempotency != decision.Idempotent) },
 	}
 	r.Body = http.NoBody
-	ctx := context.WithValue(r.Context(), pendingRequestKey{}, &pendingRequest{request, release})
+	ctx := context.WithValue(r.Context(), pendingRequestKey{}, &pendingRequest{request, id, release})
 	next.ServeHTTP(w, r.WithContext(ctx))
 }
 
@@ -142,7 +116,8 @@
 		res.Close = true
 		return res, nil
 	}
-	request := pendingRequestOf(r).request
+	pending := pendingRequestOf(r)
+	request := pending.request
 	if client.Peer() == sockopt.PeerUnknown {
 		s.log.WithField("id", request.CorrelationID).Debug("request rejected: too much unread input behind it")
 		return newResponse(r, engine.Result{Kind: engine.Rejected, RetryAfter: s.retryAfter}), nil
@@ -151,6 +126,7 @@
 	request.Request.Header = r.Header
 	results := make(chan engine.Result, 1)
 	request.Respond = func(result engine.Result) { results <- result }
+	pending.id.hold() // until OnEnd
 	s.engine.ReceiveRequest(request)
 	// The engine returns a result for each request in time. If it fails to, the client still gets a final response.
 	overdue := time.NewTimer(clock.Duration(request.ReceivedAt + request.Remaining + s.responseGracePeriod - s.clock.Now()))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -57,7 +57,7 @@
 	state      lifecycle
 	graceEnd   atomic.Pointer[time.Time] // end of the grace period; nil until Drain is called
 	notReady   atomic.Bool               // set by SetNotReady, cleared by SetReady
-	openIDs    openIDs
+	ids        *requestIDs
 }
 
 // New returns a server that serves requests on up to maxConnections client connections. [Server.Serve] starts it.
@@ -67,7 +67,7 @@
 	server := &Server{
 		engine: e, clock: c, log: log, parser: newRequestParser(s, n.MaxClientTimeout), sleep: time.Sleep,
 		retryAfter: s.MaxRetryAfter, responseGracePeriod: n.ResponseGracePeriod,
-		openIDs: openIDs{ids: map[string]bool{}},
+		ids: newRequestIDs(),
 	}
 	server.limiter = newConnLimiter(maxConnections, &server.state, log)
 	server.httpServer = &http.Server{
--- a/internal/sockopt/peer.go
+++ b/internal/sockopt/peer.go
@@ -38,13 +38,13 @@
 // side has closed counts as closed by the peer.
 func (c *Conn) Peer() PeerState {
 	state := PeerClosed
-	_ = c.raw.Control(func(fd uintptr) { state = c.lookAhead(int(fd)) }) // an error means that this side has closed it
+	_ = c.raw.Control(func(fd uintptr) { state = c.inspectPeer(int(fd)) }) // an error means that this side has closed it
 	return state
 }
 
-// lookAhead returns the state of the peer. It reads ahead unless a Read is in progress: that Read waits for input, and
+// inspectPeer returns the state of the peer. It reads ahead unless a Read is in progress: that Read waits for input, and
 // would not be woken for bytes that were taken from the socket meanwhile.
-func (c *Conn) lookAhead(descriptor int) PeerState {
+func (c *Conn) inspectPeer(descriptor int) PeerState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.ended != nil {
@@ -136,7 +136,7 @@
 // awaitClose waits until the peer has closed the connection, and returns io.EOF then. The bytes of a further request do not
 // end the wait; they are read ahead. It returns early at the read deadline, or if this side closes the connection.
 func (c *Conn) awaitClose() error {
-	err := c.raw.Read(func(fd uintptr) bool { return c.lookAhead(int(fd)) == PeerClosed })
+	err := c.raw.Read(func(fd uintptr) bool { return c.inspectPeer(int(fd)) == PeerClosed })
 	if err != nil {
 		return err
 	}
