Requests of one connection are handled at a limited rate

Cause: a connection whose next request is there already never waits for its socket. On one core its goroutine keeps the processor until it is preempted, 10 ms at a time, and the scheduler looks at the network only when nothing else runs. Each step of another request waits so.

Fix: beyond a burst of 50, requests of one connection are handled at 500 a second (golang.org/x/time/rate); the rest waits in the client's socket. A draining server does not delay, as each response closes its connection.

Unsound requests and bytes that are no HTTP did no harm before either: each ends its connection. Benchmarks of the ingress run without the limit, and count the ids up, as a POST's id is refused if it comes again.

--- a/internal/ingress/benchmark_test.go
+++ b/internal/ingress/benchmark_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 
+	"golang.org/x/time/rate"
+
 	"ottershed/decision"
 	"ottershed/internal/clock"
 	"ottershed/internal/engine"
@@ -29,6 +31,7 @@
 		{Name: "read", Idempotency: decision.Idempotent},
 		{Name: "mark", Idempotency: decision.IdempotentWithKey},
 	}}, settings.Network{MaxClientTimeout: 2000, ResponseGracePeriod: 20}, 100, quietLog())
+	server.connRequestRate = rate.Inf
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -81,6 +84,17 @@
 	}
 }
 
+// countID increments the number at the end of a request's correlation id, because some ids are refused if they come again.
+func countID(request []byte) {
+	start := bytes.Index(request, []byte("X-Correlation-Id"))
+	for i := start + bytes.IndexByte(request[start:], '\r') - 1; ; i-- {
+		if request[i]++; request[i] <= '9' {
+			return
+		}
+		request[i] = '0'
+	}
+}
+
 // benchmarkCases are the requests that the benchmarks send.
 var benchmarkCases = []struct {
 	name, request string
@@ -89,28 +103,28 @@
 }{
 	{
 		"GET", "GET /read/1?key=17 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 1\r\n" +
-			"X-Correlation-Id: b1\r\nUser-Agent: app/1\r\n\r\n",
+			"X-Correlation-Id: b1-00000000\r\nUser-Agent: app/1\r\n\r\n",
 		engine.Result{Response: &engine.Response{Header: http.Header{}, Body: []byte("hi.")}},
 		"\r\n\r\nhi.",
 	},
 	{
-		"POST", "POST /mark/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 1\r\nX-Correlation-Id: b2\r\nIdempotency-Key: k\r\n" +
+		"POST", "POST /mark/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 1\r\nX-Correlation-Id: b2-00000000\r\nIdempotency-Key: k\r\n" +
 			"Content-Length: 4\r\n\r\nbody",
 		engine.Result{Response: &engine.Response{Header: http.Header{}, Body: []byte("hi.")}},
 		"\r\n\r\nhi.",
 	},
 	{
-		"rejected", "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 1\r\nX-Correlation-Id: b3\r\n\r\n",
+		"rejected", "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 1\r\nX-Correlation-Id: b3-00000000\r\n\r\n",
 		engine.Result{Kind: engine.Rejected, RetryAfter: 125},
 		"\r\n\r\n",
 	},
 	{
-		"malformed", "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: b4\r\n\r\n",
+		"malformed", "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: b4-00000000\r\n\r\n",
 		engine.Result{},
 		"X-Time-Left is no time that a client waits\n",
 	},
 	{
-		"large response", "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 1\r\nX-Correlation-Id: b5\r\n\r\n",
+		"large response", "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 1\r\nX-Correlation-Id: b5-00000000\r\n\r\n",
 		engine.Result{Response: &engine.Response{
 			Header: http.Header{}, Body: append(bytes.Repeat([]byte("x"), maxBodyBytes-3), "end"...),
 		}},
@@ -130,6 +144,7 @@
 			client.exchange(b, request, bodyEnd)
 			b.ReportAllocs()
 			for b.Loop() {
+				countID(request)
 				client.exchange(b, request, bodyEnd)
 			}
 			if err := client.conn.Close(); err != nil {
@@ -147,6 +162,7 @@
 			request, bodyEnd, buffer := []byte(bc.request), []byte(bc.bodyEnd), make([]byte, 2*maxBodyBytes)
 			b.ReportAllocs()
 			for b.Loop() {
+				countID(request)
 				client := connect(b, address, buffer)
 				client.exchange(b, request, bodyEnd)
 				if err := client.conn.Close(); err != nil {
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -11,7 +11,7 @@
 //	errors.go     status code and text for each reason not to pass a request to the engine
 //	serve.go      handling of one request: parse, read the body, claim its id, wait for the result of the engine
 //	ids.go        correlation ids that new requests must not have
-//	departure.go  the connection of a request, to see whether its client has left
+//	clientconn.go the connection of a request: whether its client has left, how fast its requests are handled
 //	response.go   results and errors as HTTP responses
 //	limits.go     connection limit: counting, eviction, rejection beyond the limit
 //	drain.go      lifecycle of the server, accepting while it drains, graceful shutdown
--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -145,7 +145,7 @@
 			// http.Server calls this just before it tracks the connection.
 			close(accepted)
 			<-release
-			return withClientConn(ctx, conn)
+			return server.withClientConn(ctx, conn)
 		}
 	})
 	c := dial(t, l.Addr().String())
--- a/internal/ingress/floods_test.go
+++ b/internal/ingress/floods_test.go
@@ -200,3 +200,21 @@
 		}
 	}
 }
+
+// Guards against a client that takes the processor from others by small requests on one connection: beyond a burst, they are
+// handled at connRequestRate. Each gets its response.
+func TestRequestsOfOneConnectionArePaced(t *testing.T) {
+	const beyondBurst = 100
+	_, _, address := start(t, 10)
+	c := dial(t, address)
+	began := time.Now()
+	c.write(strings.Repeat("GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n", connRequestBurst+beyondBurst))
+	for i := range connRequestBurst + beyondBurst {
+		if response, _ := c.readResponse(); response.StatusCode != http.StatusOK {
+			t.Fatalf("response %d: got status %d, want 200", i, response.StatusCode)
+		}
+	}
+	if took, want := time.Since(began), beyondBurst*time.Second/connRequestRate; took < want {
+		t.Errorf("%d requests beyond the burst took %v, want at least %v", beyondBurst, took, want)
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ottershed/decision"
 	"ottershed/internal/clock"
 	"ottershed/internal/cluster/lease"
@@ -106,21 +108,18 @@
 // RoundTrip passes a request to the engine, waits for its final result and returns that as a response. It is the
 // transport of the reverse proxy. The error is that of the context if the client has disconnected.
 func (s *Server) RoundTrip(r *http.Request) (*http.Response, error) {
-	client := clientConnOf(r.Context())
-	if client.Peer() == sockopt.PeerClosed {
+	client, pending := clientConnOf(r.Context()), pendingRequestOf(r)
+	request := pending.request
+	switch peer := client.Peer(); {
+	case peer == sockopt.PeerClosed:
+		s.log.WithField("id", request.CorrelationID).Debug("client disconnected before its request was passed on")
 		return nil, errClientLeft
-	}
-	if s.rejectsRequests() {
-		s.log.WithField("id", pendingRequestOf(r).request.CorrelationID).Debug("request rejected without the engine")
-		res := newResponse(r, engine.Result{Kind: engine.Rejected, RetryAfter: s.retryAfter})
+	case s.rejectsRequests():
+		res := s.reject(r, "not ready, drained or too many connections")
 		res.Close = true
 		return res, nil
-	}
-	pending := pendingRequestOf(r)
-	request := pending.request
-	if client.Peer() == sockopt.PeerUnknown {
-		s.log.WithField("id", request.CorrelationID).Debug("request rejected: too much unread input behind it")
-		return newResponse(r, engine.Result{Kind: engine.Rejected, RetryAfter: s.retryAfter}), nil
+	case peer == sockopt.PeerUnknown:
+		return s.reject(r, "too much unread input behind it"), nil
 	}
 	request.MaySend = func() bool { return client.Peer() == sockopt.PeerOpen }
 	request.Request.Header = r.Header
@@ -143,6 +142,14 @@
 	}
 }
 
+// reject returns the response to a request that is rejected without the engine.
+func (s *Server) reject(r *http.Request, reason string) *http.Response {
+	s.log.WithFields(logrus.Fields{
+		"id": r.Header.Get(headerCorrelationID), "reason": reason,
+	}).Debug("request rejected without the engine")
+	return newResponse(r, engine.Result{Kind: engine.Rejected, RetryAfter: s.retryAfter})
+}
+
 // overdueResult returns the result of a request whose time is over: the engine's if it is there, since both are due after
 // a hold-up of the process, and otherwise a failure, of which it notifies the engine.
 func (s *Server) overdueResult(request *engine.ClientRequest, results <-chan engine.Result) engine.Result {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"ottershed/decision"
 	"ottershed/internal/clock"
@@ -49,6 +50,7 @@
 
 	retryAfter          decision.Millis     // Retry-After of requests rejected without the engine; 0: none
 	responseGracePeriod decision.Millis     // time after a client's deadline within which the engine still responds
+	connRequestRate     rate.Limit          // see the constant connRequestRate; benchmarks replace it
 	sleep               func(time.Duration) // time.Sleep; tests replace it to hold Drain up
 	decideResume        func(*decision.RequestClass) lease.ResumeDecision
 
@@ -67,13 +69,13 @@
 	server := &Server{
 		engine: e, clock: c, log: log, parser: newRequestParser(s, n.MaxClientTimeout), sleep: time.Sleep,
 		retryAfter: s.MaxRetryAfter, responseGracePeriod: n.ResponseGracePeriod,
-		ids: newRequestIDs(),
+		ids: newRequestIDs(), connRequestRate: connRequestRate,
 	}
 	server.limiter = newConnLimiter(maxConnections, &server.state, log)
 	server.httpServer = &http.Server{
 		Handler: server.handler(), ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: latestResult(n) + writeTimeout, ErrorLog: discardLog(), ConnState: server.limiter.track,
-		ConnContext: withClientConn,
+		ConnContext: server.withClientConn,
 	}
 	return server
 }
@@ -83,19 +85,19 @@
 	return readTimeout + clock.Duration(n.MaxClientTimeout+n.ResponseGracePeriod)
 }
 
-// handler returns the handler of the server: the readiness check on /up, and client requests on all other paths.
+// handler returns the handler of the server: the readiness check on /up, and client requests on all other paths, both paced.
 func (s *Server) handler() http.Handler {
 	proxy := &httputil.ReverseProxy{
 		Rewrite: rewrite, Transport: s, ModifyResponse: s.finishResponse, ErrorHandler: abortConnection,
 		ErrorLog: discardLog(),
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return s.pace(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/up" {
 			s.serveReadiness(w)
 			return
 		}
 		s.serveRequest(w, r, proxy)
-	})
+	}))
 }
 
 // discardLog returns a logger that writes nothing. net/http logs errors that clients cause, such as malformed requests.
