Tenants that the settings do not list share a bounded number of entries

Cause: loadLimiter.tenantShare added an entry for each name, and an entry starts at 0, while an overload is seen only if all entries are high.

Fix: tenants of the settings keep entries of their own; all others share 64 groups by a hash of their name, which start at the overall share.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -68,7 +68,7 @@
 	balancer.tickInterval = max(min(balancer.tickInterval, longestObjective), settings.ClockGranularity, 1)
 	balancer.applySettings(settings)
 	balancer.routing.lastPlacement = balancer.random.Float64()
-	balancer.load = newLoadLimiter(balancer.classes, longestObjective*initialLatencyShare)
+	balancer.load = newLoadLimiter(balancer.classes, settings.Tenants, longestObjective*initialLatencyShare)
 	return balancer
 }
 
--- a/decision/concurrency.go
+++ b/decision/concurrency.go
@@ -1,6 +1,9 @@
 package decision
 
-import "math"
+import (
+	"hash/crc32"
+	"math"
+)
 
 const (
 	latencyWeight     = 0.15        // weight of the newest response in an endpoint's response time
@@ -22,6 +25,8 @@
 	totalLimitStep      = 0.15 // attempts by which the total limit rises when it is reached
 	minTotalLimit       = 1e-9 // attempts; with 0 no attempt could start, so no response could raise the limit
 
+	tenantGroups = 64 // number of groups of tenants that the settings do not list
+
 	baseLatencyRiseDivisor = 20 // the base latency rises by 1/20 per slow start window
 )
 
@@ -41,19 +46,24 @@
 
 	slowShare  float64    // smoothed share of slow responses
 	slowShares []*float64 // smoothed share of slow responses of each class and of each tenant
-	// tenants holds the smoothed share of slow responses by tenant. It is bounded only if the settings list
-	// tenants, because requests of other tenants are rejected then.
+	// tenants holds the smoothed share of slow responses by tenant of the settings, nil before its first request.
 	tenants map[TenantID]*float64
+	// tenantGroups holds the smoothed share of slow responses of all other tenants, by tenantGroup.
+	tenantGroups map[uint32]*float64
 }
 
-// newLoadLimiter returns a limiter without a total limit. latency is the assumed response time before the first
-// response.
-func newLoadLimiter(classes classTable, latency Millis) loadLimiter {
+// newLoadLimiter returns a limiter without a total limit, for the tenants of the settings. latency is the assumed
+// response time before the first response.
+func newLoadLimiter(classes classTable, tenants []TenantID, latency Millis) loadLimiter {
 	limiter := loadLimiter{
-		totalLimit:  math.Inf(1),
-		meanLatency: latency,
-		baseLatency: latency,
-		tenants:     map[TenantID]*float64{},
+		totalLimit:   math.Inf(1),
+		meanLatency:  latency,
+		baseLatency:  latency,
+		tenants:      map[TenantID]*float64{},
+		tenantGroups: map[uint32]*float64{},
+	}
+	for _, id := range tenants {
+		limiter.tenants[id] = nil
 	}
 	for _, class := range classes.ordered {
 		limiter.slowShares = append(limiter.slowShares, class.slowShare)
@@ -61,17 +71,41 @@
 	return limiter
 }
 
-// tenantShare returns the share of slow responses of a tenant, and adds a tenant that is new.
+// tenantShare returns the share of slow responses of a tenant, or of its group if the settings do not list it.
 func (l *loadLimiter) tenantShare(id TenantID) *float64 {
-	share := l.tenants[id]
+	share, listed := l.tenants[id]
+	if !listed {
+		return l.groupShare(tenantGroup(id))
+	}
 	if share == nil {
-		share = new(float64)
+		share = l.addSlowShare(0)
 		l.tenants[id] = share
-		l.slowShares = append(l.slowShares, share)
 	}
 	return share
 }
 
+// groupShare returns the share of slow responses of a group of tenants. A new group starts with the overall share: at 0,
+// names that a client invents would keep leastSlowShare low, and no overload would be seen.
+func (l *loadLimiter) groupShare(group uint32) *float64 {
+	share := l.tenantGroups[group]
+	if share == nil {
+		share = l.addSlowShare(l.slowShare)
+		l.tenantGroups[group] = share
+	}
+	return share
+}
+
+// tenantGroup returns the group of a tenant that the settings do not list. The number of groups bounds the memory for names
+// that clients invent.
+func tenantGroup(id TenantID) uint32 { return crc32.ChecksumIEEE([]byte(id)) % tenantGroups }
+
+// addSlowShare adds a share of slow responses to those that leastSlowShare compares.
+func (l *loadLimiter) addSlowShare(initial float64) *float64 {
+	share := &initial
+	l.slowShares = append(l.slowShares, share)
+	return share
+}
+
 // full reports whether the total limit is reached. Attempts at silent endpoints do not count, because they may
 // never end.
 func (l *loadLimiter) full() bool { return float64(l.inFlight-l.unresponsive) >= l.totalLimit }
--- a/decision/concurrency_test.go
+++ b/decision/concurrency_test.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"fmt"
 	"testing"
 )
 
@@ -32,6 +33,36 @@
 	}
 }
 
+// Guards against a client that invents tenants: an overload is seen all the same, the memory for the names is bounded, and
+// listed tenants keep shares of their own.
+func TestInventedTenantsDoNotHideOverload(t *testing.T) {
+	const invented = 2000
+	sim := start(t, releasedUpdate(8), func(s *Settings) { s.Tenants = []TenantID{"x"} })
+	own := sim.balancer.load.tenantShare("x")
+	for i := range invented {
+		sim.lastID++
+		class := sim.balancer.classes.ordered[i%3].Name
+		tenant := TenantID(fmt.Sprint("invented-", i))
+		if i%10 == 0 {
+			tenant = "x"
+		}
+		sim.handle(RequestReceived{Request: sim.lastID, Class: class, Tenant: tenant, Remaining: 1000})
+		sim.advance(20)
+		if sim.attemptedAt(sim.lastID, 0) != "" {
+			sim.endAttempt(sim.lastID, 0, Succeeded, 300)
+		}
+	}
+	if limit := sim.balancer.load.totalLimit; limit >= 2 {
+		t.Errorf("all responses slow: got total limit %v, want below 2", limit)
+	}
+	if got, want := len(sim.balancer.load.slowShares), len(sim.balancer.classes.ordered)+1+tenantGroups; got > want {
+		t.Errorf("after %d tenants: got %d shares of slow responses, want at most %d", invented, got, want)
+	}
+	if sim.balancer.load.tenantShare("x") != own || sim.balancer.load.tenantShare("y") == own {
+		t.Error("listed tenant: got the share of other tenants, want its own")
+	}
+}
+
 // A cut of the total concurrency limit must leave room for the next attempt, also if the count of unresponsive attempts
 // is outdated because some of them have ended since. Otherwise the instance would reject every request from then on.
 func TestTotalLimitRecoversAfterUnresponsiveAttempts(t *testing.T) {
