Memory limit of the runtime: room for what the Go runtime does not count

Cause: the runtime's soft limit was three quarters of the memory. The program's own pages, some 10 MiB, come on top, which is more than the other quarter below 56 MiB. Encoding a request for an endpoint took up to three times its body while the buffer grew.

Fix: the soft limit stays 14 MiB below the memory where that is less than three quarters (18 of 32 MiB, 48 of 64 as before); the encoder's buffer is allocated in one piece.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,7 @@
 	maxBodyBytes        = 64 << 10 // limit on a request's body in internal/ingress, and on a response's in internal/upstream
 	bodiesPerConnection = 3        // most bodies that a request keeps in memory at once
 	bytesPerMiB         = 1 << 20
+	unmanagedMiB        = 14 // memory that the Go runtime does not limit: the program's pages, and what it exceeds its limit by
 )
 
 // Connections returns the maximum number of connections to clients, which is also the maximum to endpoints, and at least 1.
@@ -69,8 +70,12 @@
 	return max(1, min(byDescriptors, byMemory))
 }
 
-// MemoryLimit returns the soft memory limit of the Go runtime in bytes: three quarters of the memory.
-func (l Limits) MemoryLimit() int64 { return int64(l.MemoryMB * bytesPerMiB * 3 / 4) }
+// MemoryLimit returns the soft memory limit of the Go runtime in bytes: three quarters of the memory, and at least
+// unmanagedMiB less than the memory, but no less than a quarter of it.
+func (l Limits) MemoryLimit() int64 {
+	managedMiB := min(l.MemoryMB*3/4, l.MemoryMB-unmanagedMiB)
+	return int64(max(managedMiB, l.MemoryMB/4) * bytesPerMiB)
+}
 
 // String lists the configuration, one key per line, including defaults and values derived from the limits.
 func (c *Config) String() string {
--- a/internal/upstream/encode.go
+++ b/internal/upstream/encode.go
@@ -12,6 +12,9 @@
 	"ottershed/internal/engine"
 )
 
+// typicalHeadBytes is the length of the head of most requests.
+const typicalHeadBytes = 1 << 10
+
 // encodeRequest encodes a request for HTTP/1.1 and sets X-Time-Left to the remaining time, in seconds.
 func encodeRequest(r *engine.Request, remaining decision.Millis) []byte {
 	header := maps.Clone(http.Header(r.Header)) // shallow: Set below replaces the value slice
@@ -27,6 +30,7 @@
 		req.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
 	var b bytes.Buffer
-	_ = req.Write(&b) // writing to a bytes.Buffer never fails
+	b.Grow(typicalHeadBytes + len(r.Body)) // a buffer that grows as it is written takes up to three times the memory
+	_ = req.Write(&b)                      // writing to a bytes.Buffer never fails
 	return b.Bytes()
 }
