Heads of more than 100 lines are refused while they are read

Cause: a head was limited by its bytes alone, 12 KiB in all with what net/http adds. Each field takes some 100 to 200 bytes of memory however short, and the fields are copied for the reverse proxy and for each attempt: 0.4 MB for a head that is not complete yet, up to 1.4 MB for a request.

Fix: sockopt.Conn counts the lines of each head as it reads it and ends the request at 100, before net/http parses more. For that it passes on heads and bodies one by one, so that the next head never comes with the bytes before it.

--- /dev/null
+++ b/cmd/balancer/crowd_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	crowdClients = 400 // more than the instance's limit on connections
+	crowdTime    = 2 * time.Second
+	crowdBody    = 64 << 10 // largest body that the instance accepts
+	// crowdHead is the length of heads of many fields: nearly what net/http reads.
+	crowdHead = 11500
+	// shortFieldBytes is the length of a header field of shortFields.
+	shortFieldBytes = 6
+)
+
+// peakMemory returns the largest resident memory that a process has had, in bytes.
+func (p *balancerProcess) peakMemory(t *testing.T) int {
+	t.Helper()
+	status := readFile(t, fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	_, line, _ := strings.Cut(status, "VmHWM:")
+	var kib int
+	if _, err := fmt.Sscan(line, &kib); err != nil {
+		t.Fatalf("peak memory of the process: %v in %q", err, status)
+	}
+	return kib << 10
+}
+
+// shortFields returns different header fields of a few bytes each, length bytes in all.
+func shortFields(length int) string {
+	var fields strings.Builder
+	for i := range length / shortFieldBytes {
+		fmt.Fprintf(&fields, "%03x:\r\n", i)
+	}
+	return fields.String()
+}
+
+// crowdClient uses a connection in a way that takes memory of the instance.
+type crowdClient func(connection net.Conn, id string)
+
+// sendAndWait returns a client that sends a text, with its id in place of %s, and reads until the connection ends.
+func sendAndWait(text string) crowdClient {
+	return func(connection net.Conn, id string) {
+		if _, err := fmt.Fprintf(connection, text, id); err == nil {
+			_, _ = io.Copy(io.Discard, connection) // ends with the connection or its deadline
+		}
+	}
+}
+
+// sendSlowly sends a request with a large body, some bytes at a time.
+func sendSlowly(connection net.Conn, id string) {
+	_, err := fmt.Fprintf(connection, crowdPost, id)
+	for sent := 0; err == nil && sent < crowdBody; sent += 256 {
+		_, err = io.WriteString(connection, strings.Repeat("x", 256))
+		time.Sleep(4 * time.Millisecond)
+	}
+}
+
+// sendAndIgnore sends requests with large responses and does not read them.
+func sendAndIgnore(connection net.Conn, id string) {
+	_ = connection.(*net.TCPConn).SetReadBuffer(4 << 10) // fails only on a closed connection
+	for i := range 20 {
+		_, _ = fmt.Fprintf(connection, crowdGet+"\r\n", fmt.Sprint(id, "-", i))
+	}
+	time.Sleep(crowdTime)
+}
+
+// The heads of a crowd's requests, without the empty line that ends a GET's.
+const (
+	crowdGet  = "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 2\r\nX-Correlation-Id: %s\r\n"
+	crowdPost = "POST /pay/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 2\r\nX-Correlation-Id: %s\r\nContent-Length: 65536\r\n\r\n"
+)
+
+// crowdKinds returns the clients of each kind of crowd.
+func crowdKinds() map[string][]crowdClient {
+	body, fields := strings.Repeat("x", crowdBody), shortFields(crowdHead)
+	postWithFields := strings.Replace(crowdPost, "\r\n\r\n", "\r\n"+fields+"\r\n", 1)
+	kinds := map[string][]crowdClient{
+		"slow bodies":                    {sendSlowly},
+		"half bodies":                    {sendAndWait(crowdPost + body[:crowdBody/2])},
+		"whole bodies":                   {sendAndWait(crowdPost + body)},
+		"whole bodies and further input": {sendAndWait(crowdPost + body + strings.Repeat("GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n", 1000))},
+		"many fields, incomplete":        {sendAndWait(crowdGet + fields)},
+		"many fields":                    {sendAndWait(crowdGet + fields + "\r\n")},
+		"many fields and whole bodies":   {sendAndWait(postWithFields + body)},
+		"as many fields as are accepted": {sendAndWait(crowdGet + shortFields(90*shortFieldBytes) + "\r\n")},
+		unreadResponses:                  {sendAndIgnore},
+	}
+	var mix []crowdClient
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
+		mix = append(mix, kinds[name]...)
+	}
+	kinds["a mix of all"] = mix
+	return kinds
+}
+
+// unreadResponses is the kind of crowd whose requests are served.
+const unreadResponses = "responses that are not read"
+
+// Guards against hundreds of clients at once whose requests take so much memory that the process passes its limit and is
+// killed: slow and incomplete ones, ones with very many header fields, and clients that don't read their responses.
+func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
+	const memoryMiB = 32
+	for name, clients := range crowdKinds() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			platform := newPlatformStub(t)
+			platform.setFault(neverResponds)
+			if name == unreadResponses {
+				platform.setFault(respondsLargely)
+			}
+			limits := fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":1024}`, memoryMiB)
+			cfg, path := platform.configFileWith(t, patientSettings, limits)
+			process := startProcess(t, path)
+			waitFor(t, stepTimeout, "instance is not ready", func() bool { return isReady("http://" + cfg.Listen) })
+			gather(cfg.Listen, clients)
+			peak := process.peakMemory(t)
+			t.Logf("peak memory: %.1f MiB of %d", float64(peak)/(1<<20), memoryMiB)
+			if peak > memoryMiB<<20 {
+				t.Errorf("peak memory: got %d bytes, want at most %d", peak, memoryMiB<<20)
+			}
+		})
+	}
+}
+
+// gather keeps crowdClients connections open at once for crowdTime, each used by the clients in turn.
+func gather(address string, clients []crowdClient) {
+	until := time.Now().Add(crowdTime)
+	var crowd sync.WaitGroup
+	for i := range crowdClients {
+		crowd.Go(func() {
+			for round := i; time.Now().Before(until); round++ {
+				useConnection(address, fmt.Sprint(i, "-", round), clients[round%len(clients)])
+			}
+		})
+	}
+	crowd.Wait()
+}
+
+// useConnection opens a connection for a client, and closes it after that.
+func useConnection(address, id string, client crowdClient) {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	defer func() { _ = connection.Close() }()             // the instance may have closed it
+	_ = connection.SetDeadline(time.Now().Add(crowdTime)) // fails only on a closed connection
+	client(connection, id)
+}
--- a/cmd/balancer/platform_test.go
+++ b/cmd/balancer/platform_test.go
@@ -34,6 +34,7 @@
 	neverResponds                 // reads the request and never responds
 	dropsConnection               // closes the connection without a response
 	faultCount                    // the number of faults, including noFault
+	respondsLargely               // no fault: responds with a body of nearly the largest length
 )
 
 // platformStub runs stubs of three endpoints, a discovery agent and the rollout controller.
@@ -96,6 +97,8 @@
 		case <-r.Context().Done():
 		case <-p.done:
 		}
+	case respondsLargely:
+		_, _ = io.WriteString(w, strings.Repeat("x", 60<<10)) // the balancer may have cancelled the attempt
 	case dropsConnection:
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/ingress/floods_test.go
+++ b/internal/ingress/floods_test.go
@@ -218,3 +218,25 @@
 		t.Errorf("%d requests beyond the burst took %v, want at least %v", beyondBurst, took, want)
 	}
 }
+
+// Guards against heads of very many short fields, which take much memory: they are refused before they are parsed, also on a
+// connection that has carried requests, and as many fields as are allowed are accepted.
+func TestHeaderFieldsAreLimited(t *testing.T) {
+	_, fake, address := start(t, 10)
+	respondToRequests(t, fake, failedResult)
+	const ownFields = 3 // of send, with X-Time-Left
+	send := func(c *client, lines int) {
+		c.send("GET /read/1", "X-Time-Left: 1\r\n"+strings.Repeat("A:\r\n", lines-1-ownFields), "")
+	}
+	c := dial(t, address)
+	for range 2 {
+		send(c, maxHeaderLines)
+		if response, _ := c.readResponse(); response.StatusCode != http.StatusInternalServerError {
+			t.Errorf("%d lines: got status %d, want 500 from the engine", maxHeaderLines, response.StatusCode)
+		}
+	}
+	send(c, maxHeaderLines+1)
+	if response, _ := c.readResponse(); response.StatusCode != http.StatusBadRequest || !response.Close {
+		t.Errorf("%d lines: got status %d, close %v, want 400 with close", maxHeaderLines+1, response.StatusCode, response.Close)
+	}
+}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := sockopt.NewConn(raw.(*net.TCPConn), readTimeout)
+	conn, err := sockopt.NewConn(raw.(*net.TCPConn), readTimeout, maxHeaderLines)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -14,6 +14,7 @@
 const (
 	maxBodyBytes     = 64 << 10
 	maxHeaderBytes   = 8 << 10 // request line and headers
+	maxHeaderLines   = 100     // request line and headers
 	maxCorrelationID = 128     // length in bytes
 )
 
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -84,6 +84,7 @@
 	if r.ContentLength <= 0 {
 		return nil
 	}
+	clientConnOf(r.Context()).ExpectBody(r.ContentLength)
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(readTimeout)) // fails only on a closed connection
 	body := make([]byte, r.ContentLength)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -93,7 +93,7 @@
 	}
 	return s.pace(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/up" {
-			s.serveReadiness(w)
+			s.serveReadiness(w, r)
 			return
 		}
 		s.serveRequest(w, r, proxy)
@@ -119,7 +119,10 @@
 func (s *Server) SetReady() { s.notReady.Store(false) }
 
 // serveReadiness responds to the load balancer in front with 200 if this instance accepts requests, and 503 otherwise.
-func (s *Server) serveReadiness(w http.ResponseWriter) {
+func (s *Server) serveReadiness(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close") // the body is not read
+	}
 	if s.state.reached(draining) || s.notReady.Load() {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 	*net.TCPConn
 	raw         syscall.RawConn
 	headTimeout time.Duration // see NewConn
+	headLines   int           // see NewConn
 
 	mu         sync.Mutex
 	pending    bool // at least a part of a request was read, and the request has no response yet
@@ -28,19 +30,32 @@
 	deadline   bool // a read deadline is set
 
 	reading bool   // Read is in progress for a request, and not only to wait for the end of the connection
-	ahead   []byte // input that Peer has read ahead, at most maxReadAhead bytes; nil if there is none
+	ahead   []byte // input that was read ahead, at most maxReadAhead bytes and one read; nil if there is none
 	ended   error  // io.EOF, or the error of the socket, that Peer has found instead of further input
+
+	head     headScanner // the head of the current request
+	bodyLeft int64       // see ExpectBody
 }
 
 // NewConn wraps an accepted connection. headTimeout limits the time from the first byte of a request to the end of its
 // header, from the second request of the connection on. A higher value lets a client that stops within a header keep
-// its connection longer. The error is that of SyscallConn.
-func NewConn(c *net.TCPConn, headTimeout time.Duration) (*Conn, error) {
+// its connection longer. headLines limits the lines of a request's head, the request line included. A higher value lets a
+// client use more memory, since each header field takes much more of it than its bytes. The error is that of SyscallConn.
+func NewConn(c *net.TCPConn, headTimeout time.Duration, headLines int) (*Conn, error) {
 	raw, err := c.SyscallConn()
-	return &Conn{TCPConn: c, raw: raw, headTimeout: headTimeout}, err
+	return &Conn{TCPConn: c, raw: raw, headTimeout: headTimeout, headLines: headLines}, err
+}
+
+// ExpectBody announces that a body of this length follows the head that was read. Its reader calls it before it reads the
+// body. Without the length, bytes of the next head could be read with those of the body, and their lines not be counted.
+func (c *Conn) ExpectBody(length int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyLeft = length
 }
 
-// Read reads like the Read method of [net.TCPConn], with two differences. The first byte of each request after the first
+// Read reads like the Read method of [net.TCPConn], with these differences. It returns no bytes behind the head of a request
+// together with that head, and fails with ErrTooManyLines if the head has too many lines. The first byte of each request after the first
 // one sets the read deadline to headTimeout from now, unless the reader has already buffered a part of that request. And
 // a deadline that passes within a request ends only the wait: Read still returns bytes that have arrived, until it finds
 // none. They may have arrived in time, while the process was held up, and the request would be lost with them.
@@ -70,7 +85,7 @@
 			return true
 		}
 		requestStarts = c.awaitsRequest(len(buffer)) || requestStarts
-		n, readErr = c.readAvailable(int(fd), buffer)
+		n, readErr = c.readPart(int(fd), buffer)
 		if n > 0 {
 			c.pending = true
 			c.responded = false
@@ -81,20 +96,31 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && !requestStarts && c.withinRequest(len(buffer)) && c.readArrived(tryRead) {
 		err = nil
 	}
-	switch {
-	case err != nil:
+	if err != nil {
+		return 0, err
+	}
+	if err := readError(n, readErr); err != nil {
 		return 0, err
-	case readErr != nil && !errors.Is(readErr, io.EOF):
-		return 0, os.NewSyscallError("read", readErr)
-	case n == 0:
-		return 0, io.EOF
-	case requestStarts:
+	}
+	if requestStarts {
 		// Without a new deadline, the idle timeout could expire before the reader notices that a request has started.
 		_ = c.SetReadDeadline(time.Now().Add(c.headTimeout)) // fails only on a closed connection
 	}
 	return n, nil
 }
 
+// readError returns the error of Read for the result of readPart.
+func readError(n int, err error) error {
+	var errno syscall.Errno
+	switch {
+	case errors.As(err, &errno):
+		return os.NewSyscallError("read", err)
+	case err == nil && n == 0:
+		return io.EOF
+	}
+	return err
+}
+
 // setReading records whether Read is in progress for a request.
 func (c *Conn) setReading(reading bool) {
 	c.mu.Lock()
@@ -102,6 +128,31 @@
 	c.reading = reading
 }
 
+// readPart reads what is there of a head or of a body; c.mu must be held. Bytes behind the head go back to those that were
+// read ahead. The error is ErrTooManyLines, or that of readAvailable.
+func (c *Conn) readPart(fd int, buffer []byte) (int, error) {
+	if c.head.ended && c.bodyLeft > 0 {
+		n, err := c.readAvailable(fd, buffer[:min(int64(len(buffer)), c.bodyLeft)])
+		c.bodyLeft -= int64(max(n, 0))
+		return n, err
+	}
+	if c.head.tooLong {
+		return 0, ErrTooManyLines
+	}
+	n, err := c.readAvailable(fd, buffer)
+	if n <= 0 || c.head.ended {
+		return n, err
+	}
+	inHead := c.head.scan(buffer[:n], c.headLines)
+	if inHead < n {
+		c.ahead = append(slices.Clone(buffer[inHead:n]), c.ahead...)
+	}
+	if inHead == 0 {
+		return 0, ErrTooManyLines
+	}
+	return inHead, nil
+}
+
 // readAvailable reads what is there, first the bytes that were read ahead; c.mu must be held. The error is one of the socket,
 // EAGAIN if nothing is there.
 func (c *Conn) readAvailable(fd int, buffer []byte) (int, error) {
@@ -132,6 +183,7 @@
 	}
 	c.pending = false
 	c.responded = false
+	c.head, c.bodyLeft = headScanner{}, 0
 	return true
 }
 
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -12,6 +12,7 @@
 //	listener.go  HasQueuedConnection
 //	conn.go      Conn: reading from a client's connection and closing it
 //	peer.go      whether the peer of a Conn has closed it
+//	head.go      the end and the lines of a request's head
 package sockopt
 
 import (
