Upstream: the last look at the client comes right before the write

Between the check of an attempt and its first byte lay the choice of a connection and the encoding of the request, up to 64 KiB, where a process can be held up. The check now comes after both, with the write alone behind it; an unused connection is kept. What is left is a hold-up between the check and the write.

Evidence: TestNotSentIfClientLeavesRightBeforeWrite fails without the change: the request is sent, as nobody asks a second time.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// tryOnce runs an attempt over one connection: it checks that the attempt may be sent, acquires the connection, writes
+// tryOnce runs an attempt over one connection: it acquires the connection, checks that the attempt may be sent, writes
 // the request, reads the response, releases the connection and classifies the result. If reconnect is true, the request
 // did not run and the attempt continues on another connection.
 func (p *Pool) tryOnce(ctx context.Context, run *attemptRun) (result engine.AttemptResult, reconnect bool) {
@@ -65,20 +65,24 @@
 	if acquired.conn == nil {
 		return engine.AttemptResult{Outcome: outcome}, false
 	}
+	request := encodeRequest(run.attempt.Request, run.attempt.Deadline-p.clock.Now())
+	if !p.maySend(ctx, run) {
+		p.putIdle(run.attempt.Endpoint, run.target.endpoint, acquired.conn)
+		return engine.AttemptResult{Outcome: decision.NotSent}, false
+	}
 	acquired.sendBy = p.sendBy(run)
 	_ = acquired.conn.SetReadDeadline(run.deadline) // fails only on a closed connection
 	// An endpoint that receives the end of the request after sendBy may have forgotten an earlier run and run the request twice.
 	_ = acquired.conn.SetWriteDeadline(acquired.sendBy)
 	stopInterrupt := context.AfterFunc(ctx, acquired.conn.interrupt)
-	exchanged := p.exchange(ctx, run, acquired.conn)
+	exchanged := p.exchange(ctx, run, acquired.conn, request)
 	p.release(run, acquired, exchanged, stopInterrupt)
 	outcome, reconnect = run.classify(ctx, acquired, exchanged)
 	return engine.AttemptResult{Outcome: outcome, Load: exchanged.load, Response: exchanged.response}, reconnect
 }
 
-// exchange writes the request and reads the response.
-func (p *Pool) exchange(ctx context.Context, run *attemptRun, c *conn) exchangeResult {
-	request := encodeRequest(run.attempt.Request, run.attempt.Deadline-p.clock.Now())
+// exchange writes the encoded request and reads the response.
+func (p *Pool) exchange(ctx context.Context, run *attemptRun, c *conn, request []byte) exchangeResult {
 	mayHaveRun, complete := c.write(request)
 	if !mayHaveRun {
 		return exchangeResult{outcome: decision.Unreachable}
@@ -101,7 +105,8 @@
 	}
 }
 
-// maySend reports whether an attempt may still be sent. A connection may come up just as its attempt is canceled,
+// maySend reports whether an attempt may still be sent. It is asked before a connection is opened, and again right before the
+// request is written, with nothing but that write left to do. A connection may come up just as its attempt is canceled,
 // before the deadline that interrupts the connection is set. A request sent then would reach the endpoint after the
 // client has its final response. The client may also have left, and the engine not know it yet.
 func (p *Pool) maySend(ctx context.Context, run *attemptRun) bool {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -453,6 +453,25 @@
 	}
 }
 
+// Guards against a request that is written after its client has left while its attempt took a connection and encoded it. The
+// connection is kept, since nothing was sent on it.
+func TestNotSentIfClientLeavesRightBeforeWrite(t *testing.T) {
+	server, pool := newFakeEndpoint(t, respondWith(okResponse)), newPool(4)
+	address := server.Addr().String()
+	pool.attempt(address, "GET", 1000, nil)
+	pool.expireReuseDelay()
+	checks := 0
+	result := pool.runAttempt(t.Context(), engine.Attempt{
+		Endpoint: "n", Address: address, Deadline: pool.clock.Now() + 1000,
+		Request: &engine.Request{Method: "POST", URI: "/", Host: "h"},
+		MaySend: func() bool { checks++; return checks == 1 },
+	}, pool.lookupTarget("n", address))
+	if result.Outcome != decision.NotSent || server.requests.Load() != 1 || pool.heldConnections() != 1 {
+		t.Errorf("attempt: got outcome %d, %d requests, %d connections, want %d, 1 of before, 1", result.Outcome,
+			server.requests.Load(), pool.heldConnections(), decision.NotSent)
+	}
+}
+
 // An attempt is not sent if it is canceled, its SendBy passes or its client leaves before the first byte. By then the request
 // may have its final response, or the endpoints may have forgotten the attempt that this one repeats.
 func TestNotSentAfterCancelOrSendBy(t *testing.T) {
