The time of a request that waits behind another of its connection counts from its arrival

A client that sends several requests at once got responses after their time: each counted its X-Time-Left from when its turn came, after up to 3 s behind a hanging endpoint.

Cause: the ingress took the time of the handler's start for that of the arrival. Fix: sockopt.Conn knows when the bytes that it reads ahead have arrived; a request whose time is over when its turn comes is rejected. Input read ahead has a type of its own.

Beside it: a rejection beyond the limit on connections keeps its connection while further requests are here already, which would get no response.

Evidence: TestTimeOfRequestCountsFromArrivalBehindAnother, TestRejectionBeyondLimitLeavesNoRequestWithoutResponse; without the change the first gets a second request with its whole time, the second a close after the first of two requests.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -50,7 +50,12 @@
 
 // Now returns the current Unix time.
 func (c *Clock) Now() decision.Millis {
-	return c.unix + c.rate*float64(time.Since(c.start))/float64(time.Millisecond)
+	return c.Reading(time.Now())
+}
+
+// Reading converts a time.Time with a monotonic reading to a reading of this clock.
+func (c *Clock) Reading(t time.Time) decision.Millis {
+	return c.unix + c.rate*float64(t.Sub(c.start))/float64(time.Millisecond)
 }
 
 // Time converts a reading of this clock to a time.Time for socket deadlines. It compensates for the offset and rate of
--- a/internal/ingress/departure_test.go
+++ b/internal/ingress/departure_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"ottershed/internal/clock"
 )
 
 // departures are the ways in which a client ends its connection.
@@ -105,3 +107,51 @@
 			statuses[0], statuses[further-1])
 	}
 }
+
+// Beyond the limit on connections, a rejection closes its connection, but not if further requests are here already: they
+// would get no response.
+func TestRejectionBeyondLimitLeavesNoRequestWithoutResponse(t *testing.T) {
+	l := listen(t)
+	serve(t, l, 10, func(server *Server) { server.limiter.maxConnections = 0 })
+	address := l.Addr().String()
+	for further := range 3 {
+		c := dial(t, address)
+		c.write(firstRequest + strings.Repeat(nextRequest, further))
+		for i := range further + 1 {
+			response, _ := c.readResponse()
+			if response.StatusCode != http.StatusServiceUnavailable || response.Close != (i == further) {
+				t.Errorf("response %d of %d: got status %d, close %v, want 503, and a close of the last alone", i+1, further+1,
+					response.StatusCode, response.Close)
+			}
+		}
+	}
+}
+
+// The time of a request that waits behind an earlier one of its connection counts from its arrival. Guards against responses
+// that come after the client has given up, and against attempts that tell endpoints of time that is over.
+func TestTimeOfRequestCountsFromArrivalBehindAnother(t *testing.T) {
+	const served = 100 * time.Millisecond // time of the first request
+	for timeLeft, reachesEngine := range map[string]bool{"0.050": false, "1": true} {
+		server, fake, address := start(t, 10)
+		conn := dial(t, address)
+		conn.write(firstRequest)
+		request := <-fake.requests
+		conn.write(strings.Replace(nextRequest, "X-Time-Left: 1\r\n", "X-Time-Left: "+timeLeft+"\r\n", 1))
+		waitFor(t, "the second request is read ahead", func() bool { return !server.limiter.hasUnreadBytes() })
+		time.Sleep(served)
+		request.Respond(failedResult())
+		conn.readFailedOrKept()
+		if !reachesEngine {
+			if status := conn.readFailedOrKept(); status != http.StatusServiceUnavailable || len(fake.requests) > 0 {
+				t.Errorf("time over: got status %d, %d requests at the engine, want 503, none", status, len(fake.requests))
+			}
+			continue
+		}
+		second := <-fake.requests
+		if waited := server.clock.Now() - second.ReceivedAt; clock.Duration(waited) < served {
+			t.Errorf("second request: counts from %g ms ago, want from its arrival at least %v ago", waited, served)
+		}
+		second.Respond(failedResult())
+		conn.readFailedOrKept()
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -25,6 +25,7 @@
 	request   *engine.ClientRequest
 	id        *idClaim
 	releaseID func() // releases the handler's hold on the id; later calls have no effect
+	expired   bool   // its time ended while it waited behind earlier requests of its connection
 }
 
 // pendingRequestOf returns the pendingRequest of a request that serveRequest has passed on.
@@ -35,7 +36,8 @@
 // serveRequest checks a request, reads its whole body and passes it to next, the reverse proxy. The engine receives only
 // complete requests.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, next http.Handler) {
-	receivedAt := s.clock.Now()
+	receivedAt := s.clock.Reading(clientConnOf(r.Context()).HeadArrivedAt())
+	waited := s.clock.Now() - receivedAt // behind earlier requests of the connection
 	parsed, err := s.parser.parse(r)
 	if err == nil && s.mayHaveRun(r, parsed) {
 		setRetryAfter(w.Header(), s.retryAfter)
@@ -60,7 +62,7 @@
 		OnEnd:   func(mayHaveRun bool) { id.release(mayHaveRun && parsed.class.Idempotency != decision.Idempotent) },
 	}
 	r.Body = http.NoBody
-	ctx := context.WithValue(r.Context(), pendingRequestKey{}, &pendingRequest{request, id, release})
+	ctx := context.WithValue(r.Context(), pendingRequestKey{}, &pendingRequest{request, id, release, waited >= parsed.remaining})
 	next.ServeHTTP(w, r.WithContext(ctx))
 }
 
@@ -117,10 +119,12 @@
 		return nil, errClientLeft
 	case s.rejectsRequests():
 		res := s.reject(r, "not ready, drained or too many connections")
-		res.Close = true
+		res.Close = !client.HasInput() // requests that are here already would get no response
 		return res, nil
 	case peer == sockopt.PeerUnknown:
 		return s.reject(r, "too much unread input behind it"), nil
+	case pending.expired:
+		return s.reject(r, "its time ended behind earlier requests of its connection"), nil
 	}
 	request.MaySend = func() bool { return client.Peer() == sockopt.PeerOpen }
 	request.Request.Header = r.Header
--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,12 +28,13 @@
 	timedOut   bool // a read after the deadline has found nothing; reset by SetReadDeadline
 	deadline   bool // a read deadline is set
 
-	reading bool   // Read is in progress for a request, and not only to wait for the end of the connection
-	ahead   []byte // input that was read ahead, at most maxReadAhead bytes and one read; nil if there is none
-	ended   error  // io.EOF, or the error of the socket, that Peer has found instead of further input
+	reading bool      // Read is in progress for a request, and not only to wait for the end of the connection
+	ahead   readAhead // input that Read has not returned yet
+	ended   error     // io.EOF, or the error of the socket, that Peer has found instead of further input
 
 	head     headScanner // the head of the current request
 	bodyLeft int64       // see ExpectBody
+	headAt   time.Time   // when the newest bytes of the head arrived
 }
 
 // NewConn wraps an accepted connection. headTimeout limits the time from the first byte of a request to the end of its
@@ -54,6 +54,14 @@
 	c.bodyLeft = length
 }
 
+// HeadArrivedAt returns when the end of the current request's head arrived, as far as this process knows. It may have been read
+// ahead while an earlier request was served, and may have lain in the socket before.
+func (c *Conn) HeadArrivedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headAt
+}
+
 // Read reads like the Read method of [net.TCPConn], with these differences. It returns no bytes behind the head of a request
 // together with that head, and fails with ErrTooManyLines if the head has too many lines. The first byte of each request after the first
 // one sets the read deadline to headTimeout from now, unless the reader has already buffered a part of that request. And
@@ -132,21 +140,20 @@
 // read ahead. The error is ErrTooManyLines, or that of readAvailable.
 func (c *Conn) readPart(fd int, buffer []byte) (int, error) {
 	if c.head.ended && c.bodyLeft > 0 {
-		n, err := c.readAvailable(fd, buffer[:min(int64(len(buffer)), c.bodyLeft)])
+		n, _, err := c.readAvailable(fd, buffer[:min(int64(len(buffer)), c.bodyLeft)])
 		c.bodyLeft -= int64(max(n, 0))
 		return n, err
 	}
 	if c.head.tooLong {
 		return 0, ErrTooManyLines
 	}
-	n, err := c.readAvailable(fd, buffer)
+	n, arrivedAt, err := c.readAvailable(fd, buffer)
 	if n <= 0 || c.head.ended {
 		return n, err
 	}
+	c.headAt = arrivedAt
 	inHead := c.head.scan(buffer[:n], c.headLines)
-	if inHead < n {
-		c.ahead = append(slices.Clone(buffer[inHead:n]), c.ahead...)
-	}
+	c.ahead.putBack(buffer[inHead:n], arrivedAt)
 	if inHead == 0 {
 		return 0, ErrTooManyLines
 	}
@@ -155,14 +162,16 @@
 
 // readAvailable reads what is there, first the bytes that were read ahead; c.mu must be held. The error is one of the socket,
 // EAGAIN if nothing is there.
-func (c *Conn) readAvailable(fd int, buffer []byte) (int, error) {
+func (c *Conn) readAvailable(fd int, buffer []byte) (n int, arrivedAt time.Time, err error) {
 	switch {
-	case len(c.ahead) > 0:
-		return c.takeAhead(buffer), nil
+	case len(c.ahead.input) > 0:
+		n, arrivedAt = c.ahead.take(buffer)
+		return n, arrivedAt, nil
 	case c.ended != nil:
-		return 0, c.ended
+		return 0, time.Time{}, c.ended
 	}
-	return readFD(fd, buffer)
+	n, err = readFD(fd, buffer)
+	return n, time.Now(), err
 }
 
 // isWatchingRead reports whether a read of readSize bytes is one by which http.Server waits for the end of the connection.
@@ -253,7 +262,7 @@
 // connection. It may be called from any goroutine.
 func (c *Conn) CloseIfIdle() bool {
 	c.mu.Lock()
-	c.closed = c.closed || !c.pending && len(c.ahead) == 0 && isIdle(c.raw)
+	c.closed = c.closed || !c.pending && len(c.ahead.input) == 0 && isIdle(c.raw)
 	closed := c.closed
 	c.mu.Unlock() // Close waits for the reader, which may wait for the lock
 	if closed {
--- a/internal/sockopt/peer.go
+++ b/internal/sockopt/peer.go
@@ -4,8 +4,8 @@
 	"errors"
 	"io"
 	"net"
-	"slices"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -23,15 +23,6 @@
 	PeerUnknown
 )
 
-const (
-	// maxReadAhead is the number of bytes that Peer reads ahead at most, to see the end of the connection behind them. A
-	// higher value needs more memory for each connection whose client sends requests without waiting for responses, and
-	// lets more of these requests be served.
-	maxReadAhead = 16 << 10
-	// readAheadStep is the size of one read ahead.
-	readAheadStep = 4 << 10
-)
-
 // Peer returns the state of the connection's peer. It sees the end of the connection behind unread input, by reading the input
 // ahead. A look at the socket alone does not suffice: the peer's end is sent only after all its bytes, and these wait at the
 // peer while the receive window is closed. Peer does not wait, and may be called from any goroutine. A connection that this
@@ -50,8 +41,8 @@
 	if c.closed || c.ended != nil {
 		return PeerClosed
 	}
-	for !c.reading && len(c.ahead) < maxReadAhead {
-		n, err := c.readAhead(descriptor)
+	for !c.reading && !c.ahead.full() {
+		n, err := c.readAheadOnce(descriptor)
 		switch {
 		case n > 0:
 			continue
@@ -64,37 +55,33 @@
 	return socketState(descriptor)
 }
 
-// readAhead reads up to readAheadStep bytes of what is there. c.mu must be held.
-func (c *Conn) readAhead(descriptor int) (n int, err error) {
-	if len(c.ahead) == 0 {
+// readAheadOnce reads ahead some of what is there. c.mu must be held.
+func (c *Conn) readAheadOnce(descriptor int) (n int, err error) {
+	if len(c.ahead.input) == 0 {
 		if n, err = peekByte(descriptor); n <= 0 {
 			return n, err // no memory is needed
 		}
 	}
-	c.ahead = slices.Grow(c.ahead, readAheadStep)
-	have := len(c.ahead)
-	n, err = readFD(descriptor, c.ahead[have:min(have+readAheadStep, maxReadAhead)])
-	c.ahead = c.ahead[:have+max(n, 0)]
+	if n, err = readFD(descriptor, c.ahead.spare()); n > 0 {
+		c.ahead.commit(n, time.Now())
+	}
 	return n, err
 }
 
+// HasInput reports whether Peer has read further input ahead.
+func (c *Conn) HasInput() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead.input) > 0
+}
+
 // end records that no input follows, and discards the requests that were read ahead. err is nil for the end of the input.
 func (c *Conn) end(err error) {
 	c.ended = err
 	if err == nil {
 		c.ended = io.EOF
 	}
-	c.ahead = nil
-}
-
-// takeAhead moves bytes that were read ahead to buffer.
-func (c *Conn) takeAhead(buffer []byte) int {
-	n := copy(buffer, c.ahead)
-	c.ahead = c.ahead[n:]
-	if len(c.ahead) == 0 {
-		c.ahead = nil // frees the memory
-	}
-	return n
+	c.ahead = readAhead{}
 }
 
 // socketState returns what the socket shows of its peer without reading.
