--- a/cmd/balancer/platform_test.go
+++ b/cmd/balancer/platform_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -53,6 +54,7 @@
 	mu                sync.Mutex
 	nonIdempotentRuns map[string]int         // how often endpoints received each POST request, by its X-Correlation-Id
 	attemptTimes      map[string][]time.Time // when endpoints received each request, by its X-Correlation-Id
+	draws             *rand.Rand             // if not nil, the fault of each request is drawn from it
 	hold              <-chan struct{}        // if not nil, endpoints reject each request but servedID's once it is closed
 }
 
@@ -84,11 +86,12 @@
 func (p *platformStub) controllerAddress() string { return p.controller.Addr().String() }
 
 func (p *platformStub) serveEndpoint(w http.ResponseWriter, r *http.Request) {
-	if hold := p.recordAttempt(r); hold != nil {
+	hold, fault := p.recordAttempt(r)
+	if hold != nil {
 		rejectOnceReleased(w, r, hold)
 		return
 	}
-	switch endpointFault(p.fault.Load()) {
+	switch fault {
 	case respondsError:
 		w.WriteHeader(http.StatusInternalServerError)
 	case neverResponds:
@@ -108,19 +111,46 @@
 // servedID is the X-Correlation-Id of requests that are served in spite of holdAttempts.
 const servedID = "served"
 
-// recordAttempt records a request that an endpoint has received. It returns p.hold, or nil for a request that is served.
-func (p *platformStub) recordAttempt(r *http.Request) (hold <-chan struct{}) {
+// recordAttempt records a request that an endpoint has received. It returns the channel after which the request is
+// rejected, or nil and its fault.
+func (p *platformStub) recordAttempt(r *http.Request) (hold <-chan struct{}, fault endpointFault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	id := r.Header.Get("X-Correlation-Id")
 	p.attemptTimes[id] = append(p.attemptTimes[id], time.Now())
 	if p.hold != nil && id != servedID {
-		return p.hold
+		return p.hold, noFault
+	}
+	fault = endpointFault(p.fault.Load())
+	if p.draws != nil {
+		if p.draws.IntN(2) == 0 {
+			return drawRelease(p.draws), noFault
+		}
+		fault = endpointFault(p.draws.IntN(int(faultCount)))
 	}
 	if r.Method == http.MethodPost {
 		p.nonIdempotentRuns[id]++
 	}
-	return nil
+	return nil, fault
+}
+
+// drawRelease returns a channel that is closed within 0.2 s.
+func drawRelease(random *rand.Rand) <-chan struct{} {
+	released := make(chan struct{})
+	time.AfterFunc(drawBetween(random, 0, 200*time.Millisecond), func() { close(released) })
+	return released
+}
+
+// drawFaults makes the endpoints reject half of the requests after a random time, and draws the faults of the others.
+func (p *platformStub) drawFaults(seed uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draws = rand.New(rand.NewPCG(seed, 1))
+}
+
+// attemptsOfAfter returns how many attempts of a request the endpoints received after a time.
+func (p *platformStub) attemptsOfAfter(id string, latest time.Time) int {
+	return p.attemptsAfter(latest)[id]
 }
 
 // rejectOnceReleased rejects a request, without running it, once release is closed. If the balancer gives up before, it
