--- a/cmd/balancer/departure_soak_test.go
+++ b/cmd/balancer/departure_soak_test.go
@@ -25,7 +25,7 @@
 	soakClients  = 40
 	soakTime     = 800 * time.Millisecond // clients connect within it
 	soakMemory   = 64                     // MiB
-	crowdInSoak  = 250                    // connections of a crowd in some rounds
+	surgeInSoak  = 250                    // connections of a surge in some rounds
 	holdUpSeries = 3                      // hold-ups in some rounds
 	// soakResponseWait is the time of a request, and the half second after which a response counts as lost, for all requests
 	// of a connection. The process may be held up besides.
@@ -144,7 +144,7 @@
 
 // A soak on separate processes: clients send several requests and leave at random times and in different ways, while
 // endpoints reject, fail, hang or serve at random. In some rounds the process is held up several times, in some there is a
-// crowd of clients that send half a request. Guards against requests that are sent after their client has left, that run
+// surge of clients that send half a request. Guards against requests that are sent after their client has left, that run
 // twice or get no response, and against a process that passes its memory limit.
 func TestDepartingClients(t *testing.T) {
 	for round := range *departureRounds {
@@ -179,10 +179,10 @@
 	var running sync.WaitGroup
 	if random.IntN(4) == 0 {
 		until := time.Now().Add(soakTime)
-		for i := range crowdInSoak {
+		for i := range surgeInSoak {
 			running.Go(func() {
 				for round := 0; time.Now().Before(until); round++ {
-					useConnection(cfg.Listen, fmt.Sprint("crowd-", i, "-", round), sendAndWait(crowdPost+strings.Repeat("x", crowdBody/2)))
+					useConnection(cfg.Listen, fmt.Sprint("surge-", i, "-", round), sendAndWait(surgePost+strings.Repeat("x", surgeBody/2)))
 				}
 			})
 		}
--- a/cmd/balancer/crowd_test.go
+++ b/cmd/balancer/surge_test.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	crowdClients = 400 // more than the instance's limit on connections
-	crowdTime    = 2 * time.Second
-	crowdBody    = 64 << 10 // largest body that the instance accepts
-	// crowdHead is the length of heads of many fields: nearly what net/http reads.
-	crowdHead = 11500
+	surgeClients = 400 // more than the instance's limit on connections
+	surgeTime    = 2 * time.Second
+	surgeBody    = 64 << 10 // largest body that the instance accepts
+	// surgeHead is the length of heads of many fields: nearly what net/http reads.
+	surgeHead = 11500
 	// shortFieldBytes is the length of a header field of shortFields.
 	shortFieldBytes = 6
 )
@@ -43,11 +43,11 @@
 	return fields.String()
 }
 
-// crowdClient uses a connection in a way that takes memory of the instance.
-type crowdClient func(connection net.Conn, id string)
+// surgeClient uses a connection in a way that takes memory of the instance.
+type surgeClient func(connection net.Conn, id string)
 
 // sendAndWait returns a client that sends a text, with its id in place of %s, and reads until the connection ends.
-func sendAndWait(text string) crowdClient {
+func sendAndWait(text string) surgeClient {
 	return func(connection net.Conn, id string) {
 		if _, err := fmt.Fprintf(connection, text, id); err == nil {
 			_, _ = io.Copy(io.Discard, connection) // ends with the connection or its deadline
@@ -57,8 +57,8 @@
 
 // sendSlowly sends a request with a large body, some bytes at a time.
 func sendSlowly(connection net.Conn, id string) {
-	_, err := fmt.Fprintf(connection, crowdPost, id)
-	for sent := 0; err == nil && sent < crowdBody; sent += 256 {
+	_, err := fmt.Fprintf(connection, surgePost, id)
+	for sent := 0; err == nil && sent < surgeBody; sent += 256 {
 		_, err = io.WriteString(connection, strings.Repeat("x", 256))
 		time.Sleep(4 * time.Millisecond)
 	}
@@ -68,33 +68,33 @@
 func sendAndIgnore(connection net.Conn, id string) {
 	_ = connection.(*net.TCPConn).SetReadBuffer(4 << 10) // fails only on a closed connection
 	for i := range 20 {
-		_, _ = fmt.Fprintf(connection, crowdGet+"\r\n", fmt.Sprint(id, "-", i))
+		_, _ = fmt.Fprintf(connection, surgeGet+"\r\n", fmt.Sprint(id, "-", i))
 	}
-	time.Sleep(crowdTime)
+	time.Sleep(surgeTime)
 }
 
-// The heads of a crowd's requests, without the empty line that ends a GET's.
+// The heads of a surge's requests, without the empty line that ends a GET's.
 const (
-	crowdGet  = "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 2\r\nX-Correlation-Id: %s\r\n"
-	crowdPost = "POST /pay/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 2\r\nX-Correlation-Id: %s\r\nContent-Length: 65536\r\n\r\n"
+	surgeGet  = "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 2\r\nX-Correlation-Id: %s\r\n"
+	surgePost = "POST /pay/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 2\r\nX-Correlation-Id: %s\r\nContent-Length: 65536\r\n\r\n"
 )
 
-// crowdKinds returns the clients of each kind of crowd.
-func crowdKinds() map[string][]crowdClient {
-	body, fields := strings.Repeat("x", crowdBody), shortFields(crowdHead)
-	postWithFields := strings.Replace(crowdPost, "\r\n\r\n", "\r\n"+fields+"\r\n", 1)
-	kinds := map[string][]crowdClient{
+// surgeKinds returns the clients of each kind of surge.
+func surgeKinds() map[string][]surgeClient {
+	body, fields := strings.Repeat("x", surgeBody), shortFields(surgeHead)
+	postWithFields := strings.Replace(surgePost, "\r\n\r\n", "\r\n"+fields+"\r\n", 1)
+	kinds := map[string][]surgeClient{
 		"slow bodies":                    {sendSlowly},
-		"half bodies":                    {sendAndWait(crowdPost + body[:crowdBody/2])},
-		"whole bodies":                   {sendAndWait(crowdPost + body)},
-		"whole bodies and further input": {sendAndWait(crowdPost + body + strings.Repeat("GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n", 1000))},
-		"many fields, incomplete":        {sendAndWait(crowdGet + fields)},
-		"many fields":                    {sendAndWait(crowdGet + fields + "\r\n")},
+		"half bodies":                    {sendAndWait(surgePost + body[:surgeBody/2])},
+		"whole bodies":                   {sendAndWait(surgePost + body)},
+		"whole bodies and further input": {sendAndWait(surgePost + body + strings.Repeat("GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n", 1000))},
+		"many fields, incomplete":        {sendAndWait(surgeGet + fields)},
+		"many fields":                    {sendAndWait(surgeGet + fields + "\r\n")},
 		"many fields and whole bodies":   {sendAndWait(postWithFields + body)},
-		"as many fields as are accepted": {sendAndWait(crowdGet + shortFields(90*shortFieldBytes) + "\r\n")},
+		"as many fields as are accepted": {sendAndWait(surgeGet + shortFields(90*shortFieldBytes) + "\r\n")},
 		unreadResponses:                  {sendAndIgnore},
 	}
-	var mix []crowdClient
+	var mix []surgeClient
 	for _, name := range slices.Sorted(maps.Keys(kinds)) {
 		mix = append(mix, kinds[name]...)
 	}
@@ -102,14 +102,14 @@
 	return kinds
 }
 
-// unreadResponses is the kind of crowd whose requests are served.
+// unreadResponses is the kind of surge whose requests are served.
 const unreadResponses = "responses that are not read"
 
 // Guards against hundreds of clients at once whose requests take so much memory that the process passes its limit and is
 // killed: slow and incomplete ones, ones with very many header fields, and clients that don't read their responses.
-func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
+func TestConnectionSurgeStaysWithinMemoryLimit(t *testing.T) {
 	const memoryMiB = 32
-	for name, clients := range crowdKinds() {
+	for name, clients := range surgeKinds() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			platform := newPlatformStub(t)
@@ -131,28 +131,28 @@
 	}
 }
 
-// gather keeps crowdClients connections open at once for crowdTime, each used by the clients in turn.
-func gather(address string, clients []crowdClient) {
-	until := time.Now().Add(crowdTime)
-	var crowd sync.WaitGroup
-	for i := range crowdClients {
-		crowd.Go(func() {
+// gather keeps surgeClients connections open at once for surgeTime, each used by the clients in turn.
+func gather(address string, clients []surgeClient) {
+	until := time.Now().Add(surgeTime)
+	var surge sync.WaitGroup
+	for i := range surgeClients {
+		surge.Go(func() {
 			for round := i; time.Now().Before(until); round++ {
 				useConnection(address, fmt.Sprint(i, "-", round), clients[round%len(clients)])
 			}
 		})
 	}
-	crowd.Wait()
+	surge.Wait()
 }
 
 // useConnection opens a connection for a client, and closes it after that.
-func useConnection(address, id string, client crowdClient) {
+func useConnection(address, id string, client surgeClient) {
 	connection, err := net.Dial("tcp", address)
 	if err != nil {
 		time.Sleep(10 * time.Millisecond)
 		return
 	}
 	defer func() { _ = connection.Close() }()             // the instance may have closed it
-	_ = connection.SetDeadline(time.Now().Add(crowdTime)) // fails only on a closed connection
+	_ = connection.SetDeadline(time.Now().Add(surgeTime)) // fails only on a closed connection
 	client(connection, id)
 }
