Beyond the limit on connections, those with an incomplete request are closed first

Cause: only connections that carry no byte of a request could be evicted. A request that was not sent whole was not taken.

--- a/internal/ingress/floods_test.go
+++ b/internal/ingress/floods_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -240,3 +241,51 @@
 		t.Errorf("%d lines: got status %d, close %v, want 400 with close", maxHeaderLines+1, response.StatusCode, response.Close)
 	}
 }
+
+// Guards against hundreds of clients that stop within a request and keep others from being accepted until readTimeout.
+func TestIncompleteRequestsDoNotBlockOthers(t *testing.T) {
+	const limit, clients = 16, 100
+	for name, part := range map[string]string{
+		"half heads": "GET /read/1 HTTP/1.1\r\nHost: app.svc\r\nX-Ti",
+		"half bodies": "POST /pay/1 HTTP/1.1\r\nHost: app.svc\r\nX-Time-Left: 2\r\nX-Correlation-Id: %d\r\nContent-Length: 9\r\n\r\n" +
+			"half",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, fake, address := start(t, limit)
+			respondToRequests(t, fake, failedResult)
+			for i := range clients {
+				dial(t, address).write(strings.Replace(part, "%d", strconv.Itoa(i), 1))
+			}
+			for range 3 {
+				dial(t, address).exchangeInTime()
+			}
+		})
+	}
+}
+
+// A connection whose request is incomplete is evicted only beyond the limit, only after its grace period, and never with bytes
+// in its socket, which may be the rest.
+func TestIncompleteRequestIsEvictedOnlyWhileItsRestIsMissing(t *testing.T) {
+	server, fake, address := start(t, 10)
+	respondToRequests(t, fake, failedResult)
+	c := dial(t, address)
+	c.write(nextRequest[:len(nextRequest)/2])
+	waitFor(t, "server has read the request part", func() bool { return server.limiter.pendingCount() == 1 })
+	if server.limiter.evictAll(); server.limiter.connCount() != 1 {
+		t.Fatal("connection: evicted within its grace period, want it kept")
+	}
+	time.Sleep(newConnectionGrace)
+	server.limiter.mu.Lock() // holds up the eviction, not the reader
+	c.write(nextRequest[len(nextRequest)/2:])
+	server.limiter.mu.Unlock()
+	server.limiter.evictAll()
+	c.readFailedOrRejected()
+	other := dial(t, address)
+	other.write(nextRequest[:len(nextRequest)/2])
+	waitFor(t, "server has read the request part", func() bool { return server.limiter.pendingCount() == 1 })
+	time.Sleep(newConnectionGrace)
+	server.limiter.evictAll()
+	if response, _ := other.readResponse(); response.StatusCode != 0 {
+		t.Errorf("response: got status %d, want a close without a response", response.StatusCode)
+	}
+}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/list"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +15,8 @@
 )
 
 // connLimiter is the listener of http.Server and limits the number of client connections. http.Server owns the
-// connections and closes them. The limiter closes only connections that carry no request: beyond the limit first the
-// oldest unused one, then the longest idle one; while the server is closing all of them. Its methods are safe for
+// connections and closes them. The limiter closes only connections that carry no complete request: beyond the limit those of
+// evictOne; while the server is closing all that are unused or idle. Its methods are safe for
 // concurrent use.
 type connLimiter struct {
 	listener       net.Listener
@@ -125,12 +127,12 @@
 }
 
 // full reports whether a request must be rejected because the connection limit, which bounds file descriptors and memory,
-// is exceeded. Unused connections do not count, since they can be evicted.
+// is exceeded. Connections without a complete request do not count, since they can be evicted.
 func (l *connLimiter) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	open := len(l.conns.entries)
-	if open-l.conns.unused.Len() <= l.maxConnections {
+	if open-l.conns.unused.Len() <= l.maxConnections || open-l.conns.evictableCount() <= l.maxConnections {
 		return false
 	}
 	if !l.fullLogged {
@@ -171,9 +173,42 @@
 	return entry.list == t.idle || entry.list == t.unused && time.Since(entry.since) >= newConnectionGrace
 }
 
-// evictOne closes one connection that carries no request: the oldest unused one whose grace period is over, or else the
-// longest idle one. It reports whether there was one.
-func (t *connTable) evictOne() bool { return t.evictFrom(t.unused) || t.evictFrom(t.idle) }
+// evictOne closes one connection that carries no complete request, and reports whether there was one: the oldest unused one
+// whose grace period is over, or else the one that has waited longest for the rest of its request, or else the longest idle one.
+func (t *connTable) evictOne() bool {
+	return t.evictFrom(t.unused) || t.evictIncomplete() || t.evictFrom(t.idle)
+}
+
+// evictableCount returns the number of connections that are unused or whose request is incomplete.
+func (t *connTable) evictableCount() (count int) {
+	for conn, entry := range t.entries {
+		if _, incomplete := conn.(*sockopt.Conn).IncompleteSince(); incomplete || entry.list == t.unused {
+			count++
+		}
+	}
+	return count
+}
+
+// evictIncomplete closes the connection whose request has been incomplete for longest, and at least for newConnectionGrace. It
+// reports whether there was one. Otherwise hundreds of clients that stop within a request would block others until readTimeout.
+func (t *connTable) evictIncomplete() bool {
+	incomplete := map[*sockopt.Conn]time.Time{}
+	for conn := range t.entries {
+		if since, ok := conn.(*sockopt.Conn).IncompleteSince(); ok && time.Since(since) >= newConnectionGrace {
+			incomplete[conn.(*sockopt.Conn)] = since
+		}
+	}
+	oldestFirst := slices.SortedFunc(maps.Keys(incomplete), func(a, b *sockopt.Conn) int {
+		return incomplete[a].Compare(incomplete[b])
+	})
+	for _, conn := range oldestFirst {
+		if conn.CloseIfIncomplete() {
+			t.remove(conn)
+			return true
+		}
+	}
+	return false
+}
 
 // evictFrom closes the first connection of a list that can be closed, and reports whether there was one. That frees the
 // file descriptor at once, although http.Server notices the end of the connection later.
--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -35,6 +35,7 @@
 	head     headScanner // the head of the current request
 	bodyLeft int64       // see ExpectBody
 	headAt   time.Time   // when the newest bytes of the head arrived
+	startAt  time.Time   // when the first bytes of the current request were read
 }
 
 // NewConn wraps an accepted connection. headTimeout limits the time from the first byte of a request to the end of its
@@ -95,6 +96,9 @@
 		requestStarts = c.awaitsRequest(len(buffer)) || requestStarts
 		n, readErr = c.readPart(int(fd), buffer)
 		if n > 0 {
+			if !c.pending {
+				c.startAt = time.Now()
+			}
 			c.pending = true
 			c.responded = false
 		}
@@ -270,3 +274,24 @@
 	}
 	return closed
 }
+
+// IncompleteSince returns when the first bytes of a request were read whose rest the reader waits for. It returns false if
+// there is no such request.
+func (c *Conn) IncompleteSince() (since time.Time, incomplete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.startAt, c.reading && c.pending && !c.closed
+}
+
+// CloseIfIncomplete closes the connection if its reader waits for the rest of a request, and the socket has neither unread input
+// nor an end of file or error. It reports whether it has closed the connection. It may be called from any goroutine.
+func (c *Conn) CloseIfIncomplete() bool {
+	c.mu.Lock()
+	closes := c.reading && c.pending && !c.closed && len(c.ahead.input) == 0 && isIdle(c.raw)
+	c.closed = c.closed || closes
+	c.mu.Unlock() // Close waits for the reader, which may wait for the lock
+	if closes {
+		_ = c.Close() // the reader gets net.ErrClosed in any case
+	}
+	return closes
+}
