--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -119,11 +119,14 @@
 
 // evict closes one connection that carries no request, and reports whether there was one; l.mu must be held.
 func (l *connLimiter) evict() bool {
-	evicted := l.conns.evictOne()
-	if evicted {
-		l.log.WithField("connections", len(l.conns.entries)).Debug("connection evicted")
+	conn, reason := l.conns.evictOne()
+	if conn == nil {
+		return false
 	}
-	return evicted
+	l.log.WithFields(logrus.Fields{
+		"reason": reason, "client": conn.RemoteAddr(), "connections": len(l.conns.entries),
+	}).Debug("connection evicted")
+	return true
 }
 
 // full reports whether a request must be rejected because the connection limit, which bounds file descriptors and memory,
@@ -173,10 +176,24 @@
 	return entry.list == t.idle || entry.list == t.unused && time.Since(entry.since) >= newConnectionGrace
 }
 
-// evictOne closes one connection that carries no complete request, and reports whether there was one: the oldest unused one
-// whose grace period is over, or else the one that has waited longest for the rest of its request, or else the longest idle one.
-func (t *connTable) evictOne() bool {
-	return t.evictFrom(t.unused) || t.evictIncomplete() || t.evictFrom(t.idle)
+// The reasons of an eviction, for the log.
+const (
+	evictedUnused     = "unused"     // it has not yet carried a request
+	evictedIncomplete = "incomplete" // it waits for the rest of a request
+	evictedIdle       = "idle"       // it is between requests
+)
+
+// evictOne closes one connection that carries no complete request: the oldest unused one whose grace period is over, or else
+// the one that has waited longest for the rest of its request, or else the longest idle one. It returns the connection and the
+// reason, or nil if there was none.
+func (t *connTable) evictOne() (conn *sockopt.Conn, reason string) {
+	if conn := t.evictFrom(t.unused); conn != nil {
+		return conn, evictedUnused
+	}
+	if conn := t.evictIncomplete(); conn != nil {
+		return conn, evictedIncomplete
+	}
+	return t.evictFrom(t.idle), evictedIdle
 }
 
 // evictableCount returns the number of connections that are unused or whose request is incomplete.
@@ -190,8 +207,8 @@
 }
 
 // evictIncomplete closes the connection whose request has been incomplete for longest, and at least for newConnectionGrace. It
-// reports whether there was one. Otherwise hundreds of clients that stop within a request would block others until readTimeout.
-func (t *connTable) evictIncomplete() bool {
+// returns nil if there was none. Otherwise hundreds of clients that stop within a request would block others until readTimeout.
+func (t *connTable) evictIncomplete() *sockopt.Conn {
 	incomplete := map[*sockopt.Conn]time.Time{}
 	for conn := range t.entries {
 		if since, ok := conn.(*sockopt.Conn).IncompleteSince(); ok && time.Since(since) >= newConnectionGrace {
@@ -204,24 +221,24 @@
 	for _, conn := range oldestFirst {
 		if conn.CloseIfIncomplete() {
 			t.remove(conn)
-			return true
+			return conn
 		}
 	}
-	return false
+	return nil
 }
 
-// evictFrom closes the first connection of a list that can be closed, and reports whether there was one. That frees the
+// evictFrom closes the first connection of a list that can be closed, and returns it, or nil if there was none. That frees the
 // file descriptor at once, although http.Server notices the end of the connection later.
-func (t *connTable) evictFrom(conns *list.List) bool {
+func (t *connTable) evictFrom(conns *list.List) *sockopt.Conn {
 	for element := conns.Front(); element != nil; element = element.Next() {
 		conn := element.Value.(*sockopt.Conn)
 		if !t.isClosable(t.entries[conn]) {
-			return false // the following connections are newer, so none of them is closable
+			return nil // the following connections are newer, so none of them is closable
 		}
 		if conn.CloseIfIdle() {
 			t.remove(conn)
-			return true
+			return conn
 		}
 	}
-	return false
+	return nil
 }
