--- a/decision/concurrency.go
+++ b/decision/concurrency.go
@@ -25,7 +25,7 @@
 	totalLimitStep      = 0.15 // attempts by which the total limit rises when it is reached
 	minTotalLimit       = 1e-9 // attempts; with 0 no attempt could start, so no response could raise the limit
 
-	tenantGroups = 64 // number of groups of tenants that the settings do not list
+	tenantGroupCount = 64 // number of groups of tenants that the settings do not list
 
 	baseLatencyRiseDivisor = 20 // the base latency rises by 1/20 per slow start window
 )
@@ -97,7 +97,7 @@
 
 // tenantGroup returns the group of a tenant that the settings do not list. The number of groups bounds the memory for names
 // that clients invent.
-func tenantGroup(id TenantID) uint32 { return crc32.ChecksumIEEE([]byte(id)) % tenantGroups }
+func tenantGroup(id TenantID) uint32 { return crc32.ChecksumIEEE([]byte(id)) % tenantGroupCount }
 
 // addSlowShare adds a share of slow responses to those that leastSlowShare compares.
 func (l *loadLimiter) addSlowShare(initial float64) *float64 {
