Upstream: a connection that an attempt took and did not use keeps its idle time

An attempt that is not sent after all, as its client has just left, gave its connection back as if it had been used now. The pool keeps a connection for half of the endpoint's idle time; one given back so could be kept for longer, and a request be written to it just as the endpoint closes it, when it may have run.

Fix: the idle time is set where an exchange ends or a connection is established, and idle connections are inserted in its order, which their expiry relies on. TestUnsentAttemptLeavesIdleTime failed before: idle since now, behind a newer one.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -67,7 +67,7 @@
 	}
 	request := encodeRequest(run.attempt.Request, run.attempt.Deadline-p.clock.Now())
 	if !p.maySend(ctx, run) {
-		p.putIdle(run.attempt.Endpoint, run.target.endpoint, acquired.conn)
+		p.putIdle(run.attempt.Endpoint, run.target.endpoint, acquired.conn) // idle since its last use, as it was not used
 		return engine.AttemptResult{Outcome: decision.NotSent}, false
 	}
 	acquired.sendBy = p.sendBy(run)
@@ -98,6 +98,7 @@
 	if acquired.reused {
 		p.observeReuse(acquired.idleFor, result.mayHaveRun && result.outcome != decision.ConnectionBroken)
 	}
+	acquired.conn.idleSince = time.Now()
 	if stopInterrupt() && result.reusable {
 		p.putIdle(run.attempt.Endpoint, run.target.endpoint, acquired.conn)
 	} else {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -27,7 +27,7 @@
 	net.Conn
 	readLimit *io.LimitedReader // remaining bytes allowed for the current response
 	reader    *bufio.Reader
-	idleSince time.Time // valid while the connection is idle
+	idleSince time.Time // when the last exchange ended, or the connection was established
 	readErr   error     // error of the last read, if any
 }
 
@@ -42,7 +42,7 @@
 
 // newConn wraps an established connection.
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, idleSince: time.Now()}
 	c.readLimit = &io.LimitedReader{R: c}
 	c.reader = bufio.NewReader(c.readLimit)
 	return c
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -101,17 +101,20 @@
 	return !ok || sockopt.IsIdle(sys)
 }
 
-// putIdle adds a reusable connection to the idle connections of its endpoint. It closes the connection if the pool has
-// stopped, the endpoint is no longer the listed one, or the deadline of the connection can't be cleared.
+// putIdle adds a reusable connection to the idle connections of its endpoint, in the order of idleSince, which the caller has
+// set. It closes the connection if the pool has stopped, the endpoint is no longer the listed one, or the deadline of the
+// connection can't be cleared.
 func (p *Pool) putIdle(id decision.EndpointID, e *endpoint, c *conn) {
-	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.closed && e != nil && p.endpoints[id] == e && c.SetDeadline(time.Time{}) == nil {
-		e.idle = append(e.idle, c)
-	} else {
+	if p.closed || e == nil || p.endpoints[id] != e || c.SetDeadline(time.Time{}) != nil {
 		p.closeAll([]*conn{c})
+		return
 	}
+	position, _ := slices.BinarySearchFunc(e.idle, c.idleSince, func(other *conn, since time.Time) int {
+		return other.idleSince.Compare(since)
+	})
+	e.idle = slices.Insert(e.idle, position, c)
 }
 
 // observeReuse adjusts the idle limit after a connection was reused. An endpoint may close idle connections earlier
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -472,6 +472,26 @@
 	}
 }
 
+// Guards against a connection that is kept longer than the endpoint keeps it, because an attempt took it and was not sent: a later
+// request could be written just as the endpoint closes it. Its idle time goes on, and the idle connections stay in order.
+func TestUnsentAttemptLeavesIdleTime(t *testing.T) {
+	server, pool := newFakeEndpoint(t, respondWith(okResponse)), newPool(4)
+	address := server.Addr().String()
+	pool.attempt(address, "GET", 1000, nil)
+	pool.expireReuseDelay()
+	taken := pool.takeIdle(pool.lookupTarget("n", address))
+	idleSince := taken.idleSince
+	pool.attempt(address, "GET", 1000, nil) // opens another connection, which is idle for a shorter time
+	target := pool.lookupTarget("n", address)
+	pool.putIdle("n", target.endpoint, taken)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if idle := target.endpoint.idle; len(idle) != 2 || idle[0] != taken || !taken.idleSince.Equal(idleSince) {
+		t.Errorf("idle connections: got %d, the unsent one first %v, idle since %v, want 2, true, %v as before", len(idle),
+			idle[0] == taken, taken.idleSince, idleSince)
+	}
+}
+
 // An attempt is not sent if it is canceled, its SendBy passes or its client leaves before the first byte. By then the request
 // may have its final response, or the endpoints may have forgotten the attempt that this one repeats.
 func TestNotSentAfterCancelOrSendBy(t *testing.T) {
