Client connections: one call of poll, one condition for an incomplete request

Read once more: hungUp and isReadable were the same loop round poll(2); IncompleteSince and CloseIfIncomplete had the same condition; the request log asked for a logger's level by its types, which logrus tells. Comments name CloseIfIncomplete. Behaviour is as before.

--- a/internal/engine/requestlog.go
+++ b/internal/engine/requestlog.go
@@ -27,18 +27,8 @@
 }
 
 func newRequestLog(log logrus.FieldLogger) requestLog {
-	return requestLog{log, logrusLevel(log) >= logrus.DebugLevel}
-}
-
-// logrusLevel returns the level of a logger, or the info level if its type is unknown.
-func logrusLevel(log logrus.FieldLogger) logrus.Level {
-	switch log := log.(type) {
-	case *logrus.Logger:
-		return log.GetLevel()
-	case *logrus.Entry:
-		return log.Logger.GetLevel()
-	}
-	return logrus.InfoLevel
+	entry := log.WithFields(nil) // logrus.FieldLogger does not tell its level
+	return requestLog{log, entry.Logger.IsLevelEnabled(logrus.DebugLevel)}
 }
 
 func (l requestLog) received(request *ClientRequest, remaining decision.Millis) {
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// evict closes one connection that carries no request, and reports whether there was one; l.mu must be held.
+// evict closes one connection that carries no complete request, and reports whether there was one; l.mu must be held.
 func (l *connLimiter) evict() bool {
 	conn, reason := l.conns.evictOne()
 	if conn == nil {
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -56,8 +56,8 @@
 	release := sync.OnceFunc(func() { id.release(false) })
 	defer release()
 	request := &engine.ClientRequest{
-		CorrelationID: parsed.correlationID, Class: parsed.class.Name, Tenant: parsed.tenant, Key: stickyKey(r.URL.RawQuery), Remaining: parsed.remaining,
-		ReceivedAt: receivedAt, Retried: r.Header.Get(headerRetried) == "1",
+		CorrelationID: parsed.correlationID, Class: parsed.class.Name, Tenant: parsed.tenant, Key: stickyKey(r.URL.RawQuery),
+		Remaining: parsed.remaining, ReceivedAt: receivedAt, Retried: r.Header.Get(headerRetried) == "1",
 		Request: &engine.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body},
 		OnEnd:   func(mayHaveRun bool) { id.release(mayHaveRun && parsed.class.Idempotency != decision.Idempotent) },
 	}
--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -20,7 +20,7 @@
 	pending    bool // at least a part of a request was read, and the request has no response yet
 	responded  bool // set by MarkResponded; the reader may have buffered a part of the next request
 	bufferSize int  // size of the reader's buffer in bytes, from its first read; 0: unknown
-	closed     bool // set by CloseIfIdle
+	closed     bool // set by CloseIfIdle and CloseIfIncomplete
 	timedOut   bool // a read after the deadline has found nothing; reset by SetReadDeadline
 	deadline   bool // a read deadline is set
 
@@ -93,14 +93,17 @@
 func (c *Conn) IncompleteSince() (since time.Time, incomplete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.startAt, c.reading && c.pending && !c.closed
+	return c.startAt, c.awaitsRest()
 }
 
+// awaitsRest reports whether the reader waits for the rest of a request. c.mu must be held.
+func (c *Conn) awaitsRest() bool { return c.reading && c.pending && !c.closed }
+
 // CloseIfIncomplete closes the connection if its reader waits for the rest of a request, and the socket has neither unread input
 // nor an end of file or error. It reports whether it has closed the connection. It may be called from any goroutine.
 func (c *Conn) CloseIfIncomplete() bool {
 	c.mu.Lock()
-	closes := c.reading && c.pending && !c.closed && len(c.ahead.input) == 0 && isIdle(c.raw)
+	closes := c.awaitsRest() && len(c.ahead.input) == 0 && isIdle(c.raw)
 	c.closed = c.closed || closes
 	c.mu.Unlock() // Close waits for the reader, which may wait for the lock
 	if closes {
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -1,10 +1,10 @@
 // Package sockopt adds four operations to the connections and listeners of package net: checking a connection for input
 // without reading from it, seeing that its peer has closed it behind unread input, checking the accept queue of a listener
-// without accepting, and closing a client's connection from another goroutine than its reader if no request is in progress.
+// without accepting, and closing a client's connection from another goroutine than its reader if no whole request is there.
 //
 // [IsIdle] checks idle connections to endpoints. [HasQueuedConnection] checks a listener. [NewConn] wraps an accepted
 // connection. Its server calls [Conn.MarkResponded] after each response, and a goroutine that needs the descriptor calls
-// [Conn.CloseIfIdle]. [Conn.Peer] tells whether the client has left.
+// [Conn.CloseIfIdle] or [Conn.CloseIfIncomplete]. [Conn.Peer] tells whether the client has left.
 //
 // # Files
 //
--- a/internal/sockopt/listener.go
+++ b/internal/sockopt/listener.go
@@ -17,17 +17,17 @@
 	}
 	var queued bool
 	var pollErr error
-	err = raw.Control(func(fd uintptr) { queued, pollErr = isReadable(int32(fd)) })
+	err = raw.Control(func(fd uintptr) { queued, pollErr = pollNow(int(fd), unix.POLLIN) })
 	return queued, errors.Join(err, pollErr)
 }
 
-// isReadable calls poll(2) without a wait and repeats it if a signal interrupts it.
-func isReadable(fd int32) (bool, error) {
+// pollNow reports whether poll(2) shows one of the events at once. It repeats the call if a signal interrupts it.
+func pollNow(fd int, events int16) (bool, error) {
 	for {
-		polled := []unix.PollFd{{Fd: fd, Events: unix.POLLIN}}
+		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
 		_, err := unix.Poll(polled, 0)
 		if !errors.Is(err, unix.EINTR) {
-			return polled[0].Revents&unix.POLLIN != 0, err
+			return polled[0].Revents&events != 0, err
 		}
 	}
 }
--- a/internal/sockopt/peer.go
+++ b/internal/sockopt/peer.go
@@ -108,16 +108,11 @@
 	}
 }
 
-// hungUp reports whether poll(2) shows the end of the connection or an error, possibly behind unread input. It repeats the
-// call if a signal interrupts it; any other error shows nothing.
+// hungUp reports whether poll(2) shows the end of the connection or an error, possibly behind unread input. If poll fails, it
+// shows nothing.
 func hungUp(fd int) bool {
-	for {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		_, err := unix.Poll(polled, 0)
-		if !errors.Is(err, unix.EINTR) {
-			return err == nil && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-		}
-	}
+	ended, err := pollNow(fd, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+	return ended && err == nil
 }
 
 // awaitClose waits until the peer has closed the connection, and returns io.EOF then. The bytes of a further request do not
--- a/internal/sockopt/read.go
+++ b/internal/sockopt/read.go
@@ -20,7 +20,7 @@
 // so while a request is served, to learn that its client has left. If it got the first byte of a further request, it would
 // look no further, and the close behind that byte would not end the request.
 //
-// After CloseIfIdle has closed the connection, the error wraps [net.ErrClosed]. Read may be called by one goroutine at a
+// After CloseIfIdle or CloseIfIncomplete has closed the connection, the error wraps [net.ErrClosed]. Read may be called by one goroutine at a
 // time.
 func (c *Conn) Read(buffer []byte) (n int, err error) {
 	if len(buffer) == 0 {
