Balancer's tests: one runner of soak rounds, one exchange, one start with limits

The tests and what they assert are the same; the flood's test compares the parsed status instead of the line's bytes.

--- a/cmd/balancer/departure_soak_test.go
+++ b/cmd/balancer/departure_soak_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os/exec"
 	"strings"
 	"sync"
 	"testing"
@@ -109,7 +108,7 @@
 	c.leftAt = time.Now()
 	if last := c.requests[len(c.requests)-1]; last.again {
 		time.Sleep(c.leaveAfter)
-		_ = sendOnNewConnection(address, last.text) // checkSoak looks for what has run
+		_, _ = exchangeOnNewConnection(address, last.text, responseWait) // checkSoak looks for what has run
 	}
 }
 
@@ -130,43 +129,20 @@
 	return nil
 }
 
-// sendOnNewConnection sends a request and waits for its response.
-func sendOnNewConnection(address, text string) error {
-	connection, err := net.Dial("tcp", address)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = connection.Close() }()                // the response was read
-	_ = connection.SetDeadline(time.Now().Add(responseWait)) // fails only on a closed connection
-	if _, err := io.WriteString(connection, text); err != nil {
-		return err
-	}
-	return readResponses(bufio.NewReader(connection), 1)
-}
-
 // A soak on separate processes: clients send several requests and leave at random times and in different ways, while
 // endpoints reject, fail, hang or serve at random. In some rounds the process is held up several times, in some there is a
 // surge of clients that send half a request. Guards against requests that are sent after their client has left, that run
 // twice or get no response, and against a process that passes its memory limit.
 func TestDepartingClients(t *testing.T) {
-	for round := range *departureRounds {
-		seed := uint64(*departureSeed + round)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			soakDepartures(t, seed)
-		})
-	}
+	runRounds(t, *departureRounds, *departureSeed, soakDepartures)
 }
 
 // soakDepartures runs one round of TestDepartingClients.
 func soakDepartures(t *testing.T, seed uint64) {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 0))
-	platform := newPlatformStub(t)
 	limits := fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":1024}`, soakMemory)
-	cfg, path := platform.configFileWith(t, patientSettings, limits)
-	process := startCommand(t, exec.Command(testProgram(t), "serve", "--config", path, "--log-level", "debug"))
-	waitFor(t, stepTimeout, "instance is not ready", func() bool { return isReady("http://" + cfg.Listen) })
+	platform, process, address := startWithLimits(t, patientSettings, limits)
 	platform.drawFaults(seed)
 	var clients []*soakClient
 	for i := range soakClients {
@@ -184,20 +160,20 @@
 		for i := range surgeInSoak {
 			running.Go(func() {
 				for round := 0; time.Now().Before(until); round++ {
-					useConnection(cfg.Listen, fmt.Sprint("surge-", i, "-", round), sendAndWait(surgePost+strings.Repeat("x", surgeBody/2)))
+					useConnection(address, fmt.Sprint("surge-", i, "-", round), sendAndWait(surgePost+strings.Repeat("x", surgeBody/2)))
 				}
 			})
 		}
 	}
 	for _, c := range clients {
-		running.Go(func() { c.run(cfg.Listen) })
+		running.Go(func() { c.run(address) })
 	}
 	for _, after := range holdUps {
 		time.Sleep(after)
 		process.holdUp()
 	}
 	running.Wait()
-	_ = sendOnNewConnection(cfg.Listen, getRequest(lastID)) // whatever the response, requests before it have ended or are out
+	_, _ = exchangeOnNewConnection(address, getRequest(lastID), responseWait) // whatever the response, requests before it have ended or are out
 	checkSoak(t, platform, process, clients, len(holdUps) > 0)
 }
 
--- a/cmd/balancer/departure_test.go
+++ b/cmd/balancer/departure_test.go
@@ -111,38 +111,32 @@
 // the instance has not read yet, however it closes, and whether or not its request was read by then. The endpoints
 // reject each attempt, but the one that is out when the client leaves only after departureLimit.
 func TestRequestOfDepartedClientIsNotSentOn(t *testing.T) {
-	awaitFirst := func(c *departingClient, platform *platformStub) {
+	sendFirst := func(c *departingClient, platform *platformStub) {
+		c.send(getRequest("first"))
 		waitFor(c.t, stepTimeout, "no attempt of the first request", func() bool { return platform.attempts("first") > 0 })
 	}
 	for name, test := range map[string]struct {
 		before func(*departingClient, *platformStub) // what the client does before it leaves
 		reset  bool                                  // the client resets its connection
 	}{
-		"alone": {func(c *departingClient, p *platformStub) { c.send(getRequest("first")); awaitFirst(c, p) }, false},
-		"alone, reset": {func(c *departingClient, p *platformStub) {
-			c.send(getRequest("first"))
-			awaitFirst(c, p)
-		}, true},
+		"alone":        {sendFirst, false},
+		"alone, reset": {sendFirst, true},
 		"another request behind it": {func(c *departingClient, p *platformStub) {
-			c.send(getRequest("first"))
-			awaitFirst(c, p)
+			sendFirst(c, p)
 			c.send(getRequest("second") + getRequest("third"))
 		}, false},
 		"another request behind it, reset": {func(c *departingClient, p *platformStub) {
-			c.send(getRequest("first"))
-			awaitFirst(c, p)
+			sendFirst(c, p)
 			c.send(getRequest("second") + getRequest("third"))
 		}, true},
 		"many requests behind it": {func(c *departingClient, p *platformStub) {
-			c.send(getRequest("first"))
-			awaitFirst(c, p)
+			sendFirst(c, p)
 			for i := range 40 {
 				c.send(postRequest(fmt.Sprint("second-", i), strings.Repeat("x", 200)))
 			}
 		}, false},
 		"more behind it than the socket holds": {func(c *departingClient, p *platformStub) {
-			c.send(getRequest("first"))
-			awaitFirst(c, p)
+			sendFirst(c, p)
 			c.sendMuch("second")
 		}, false},
 		"several at once, left on the first response": {func(c *departingClient, _ *platformStub) {
@@ -154,14 +148,13 @@
 			c.readResponse()
 		}, true},
 		"a byte behind it": {func(c *departingClient, p *platformStub) {
-			c.send(getRequest("first"))
-			awaitFirst(c, p)
+			sendFirst(c, p)
 			c.send("G")
 		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			platform, process, address := startForDeparture(t)
+			platform, process, address := startWithLimits(t, patientSettings, "{}")
 			release := make(chan struct{})
 			platform.holdAttempts(release)
 			client := dialBalancer(t, address)
@@ -180,7 +173,7 @@
 // it sent them and closed its connection.
 func TestRequestOfClientThatLeftDuringHoldUpIsNotSent(t *testing.T) {
 	const clients = 20 // whether one attempt begins is up to the scheduler of the process
-	platform, process, address := startForDeparture(t)
+	platform, process, address := startWithLimits(t, patientSettings, "{}")
 	openEndpointConnections(t, address, clients)
 	process.signal(t, syscall.SIGSTOP)
 	for i := range clients {
@@ -208,11 +201,12 @@
 	time.Sleep(50 * time.Millisecond) // connections are not reused at once
 }
 
-// startForDeparture starts the platform and an instance, and returns both with the instance's address.
-func startForDeparture(t *testing.T) (*platformStub, *balancerProcess, string) {
+// startWithLimits starts the platform and an instance with the given settings and limits, as JSON, that logs each step of a
+// request. It returns both with the instance's address once that is ready.
+func startWithLimits(t *testing.T, settings, limits string) (*platformStub, *balancerProcess, string) {
 	t.Helper()
 	platform := newPlatformStub(t)
-	cfg, path := platform.configFileWith(t, patientSettings, "{}")
+	cfg, path := platform.configFileWith(t, settings, limits)
 	process := startCommand(t, exec.Command(testProgram(t), "serve", "--config", path, "--log-level", "debug"))
 	waitFor(t, stepTimeout, "instance is not ready", func() bool { return isReady("http://" + cfg.Listen) })
 	return platform, process, cfg.Listen
@@ -235,7 +229,7 @@
 // connection: while the first attempt is out, after it has ended, and after it was served.
 func TestIDOfDepartedClientRunsOnce(t *testing.T) {
 	const repeats = 3
-	platform, process, address := startForDeparture(t)
+	platform, process, address := startWithLimits(t, patientSettings, "{}")
 	sendAgain := func(id string) {
 		for range repeats {
 			again := dialBalancer(t, address)
--- a/cmd/balancer/flood_test.go
+++ b/cmd/balancer/flood_test.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"errors"
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -71,10 +72,11 @@
 			var latencies []time.Duration
 			misses := 0
 			for time.Now().Before(until) {
+				other := fmt.Sprintf(soundRequest, "GET /read/1", fmt.Sprint("other-", len(latencies)), "0.300", "other", "")
 				sentAt := time.Now()
-				err := exchangeOnNewConnection(cfg.Listen, fmt.Sprint("other-", len(latencies)))
+				status, err := exchangeOnNewConnection(cfg.Listen, other, time.Second)
 				latencies = append(latencies, time.Since(sentAt))
-				if err != nil || latencies[len(latencies)-1] > latencyObjective {
+				if err != nil || status != http.StatusOK || latencies[len(latencies)-1] > latencyObjective {
 					misses++
 				}
 				time.Sleep(5 * time.Millisecond)
@@ -90,26 +92,24 @@
 	}
 }
 
-// exchangeOnNewConnection sends a request on a new connection. The error says that it was not served.
-func exchangeOnNewConnection(address, id string) error {
-	connection, err := net.DialTimeout("tcp", address, time.Second)
+// exchangeOnNewConnection sends a request on a new connection, and returns the status of the response. The error says that none
+// came within the timeout.
+func exchangeOnNewConnection(address, text string, timeout time.Duration) (status int, err error) {
+	connection, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = connection.Close() }() // the response was read
-	if err := connection.SetDeadline(time.Now().Add(time.Second)); err != nil {
-		return err
+	if err := connection.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return 0, err
 	}
-	if _, err := fmt.Fprintf(connection, soundRequest, "GET /read/1", id, "0.300", "other", ""); err != nil {
-		return err
+	if _, err := io.WriteString(connection, text); err != nil {
+		return 0, err
 	}
-	const statusOK = "HTTP/1.1 200"
-	status := make([]byte, len(statusOK))
-	if _, err := io.ReadFull(connection, status); err != nil {
-		return err
-	}
-	if string(status) != statusOK {
-		return errors.New(string(status))
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return 0, err
 	}
-	return nil
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
 }
--- a/cmd/balancer/helpers_test.go
+++ b/cmd/balancer/helpers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"testing"
@@ -60,3 +61,15 @@
 		t.Fatal(err)
 	}
 }
+
+// runRounds runs the rounds of a soak at once, each with a seed of its own.
+func runRounds(t *testing.T, rounds, firstSeed int, run func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for round := range rounds {
+		seed := uint64(firstSeed + round)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			run(t, seed)
+		})
+	}
+}
--- a/cmd/balancer/holdup_test.go
+++ b/cmd/balancer/holdup_test.go
@@ -147,13 +147,7 @@
 // A soak on separate processes: endpoints hang from SIGTERM on, and the process is held up for 0.14 s at a random time of
 // its shutdown. Guards against taken requests that get no response because a time limit is looked at late.
 func TestHeldUpShutdownRespondsToAll(t *testing.T) {
-	for round := range *holdUpRounds {
-		seed := uint64(*holdUpSeed + round)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			holdUpShutdown(t, seed)
-		})
-	}
+	runRounds(t, *holdUpRounds, *holdUpSeed, holdUpShutdown)
 }
 
 // holdUpShutdown runs one round of TestHeldUpShutdownRespondsToAll.
