Ingress: log responses after their deadline and requests delayed for their client's speed

Change: two warnings with count, longest delay, id, status and time before handling, or the client's address; each at most once in 5 s.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -47,7 +47,9 @@
 // requests wait in its socket meanwhile. A draining server does not delay, since each response closes its connection.
 func (s *Server) pace(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if delay := clientConnOf(r.Context()).requests.Reserve().Delay(); delay > 0 && !s.state.reached(draining) {
+		conn := clientConnOf(r.Context())
+		if delay := conn.requests.Reserve().Delay(); delay > 0 && !s.state.reached(draining) {
+			s.delays.observePacing(conn.RemoteAddr(), delay)
 			time.Sleep(delay)
 		}
 		next.ServeHTTP(w, r)
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -12,6 +12,7 @@
 //	serve.go      handling of one request: parse, read the body, claim its id, wait for the result of the engine
 //	ids.go        correlation ids that new requests must not have
 //	clientconn.go the connection of a request: whether its client has left, how fast its requests are handled
+//	delaylog.go   warnings about late responses and delayed requests
 //	response.go   results and errors as HTTP responses
 //	limits.go     connection limit: counting, eviction, rejection beyond the limit
 //	drain.go      lifecycle of the server, accepting while it drains, graceful shutdown
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -24,8 +24,8 @@
 type pendingRequest struct {
 	request   *engine.ClientRequest
 	id        *idClaim
-	releaseID func() // releases the handler's hold on the id; later calls have no effect
-	expired   bool   // its time ended while it waited behind earlier requests of its connection
+	releaseID func()          // releases the handler's hold on the id; later calls have no effect
+	waited    decision.Millis // from its arrival until its handler began, behind earlier requests of its connection
 }
 
 // pendingRequestOf returns the pendingRequest of a request that serveRequest has passed on.
@@ -62,7 +62,7 @@
 		OnEnd:   func(mayHaveRun bool) { id.release(mayHaveRun && parsed.class.Idempotency != decision.Idempotent) },
 	}
 	r.Body = http.NoBody
-	ctx := context.WithValue(r.Context(), pendingRequestKey{}, &pendingRequest{request, id, release, waited >= parsed.remaining})
+	ctx := context.WithValue(r.Context(), pendingRequestKey{}, &pendingRequest{request, id, release, waited})
 	next.ServeHTTP(w, r.WithContext(ctx))
 }
 
@@ -123,7 +123,7 @@
 		return res, nil
 	case peer == sockopt.PeerUnknown:
 		return s.reject(r, "too much unread input behind it"), nil
-	case pending.expired:
+	case pending.waited >= request.Remaining:
 		return s.reject(r, "its time ended behind earlier requests of its connection"), nil
 	}
 	request.MaySend = func() bool { return client.Peer() == sockopt.PeerOpen }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -60,6 +60,7 @@
 	graceEnd   atomic.Pointer[time.Time] // end of the grace period; nil until Drain is called
 	notReady   atomic.Bool               // set by SetNotReady, cleared by SetReady
 	ids        *requestIDs
+	delays     *delayLog
 }
 
 // New returns a server that serves requests on up to maxConnections client connections. [Server.Serve] starts it.
@@ -69,7 +70,7 @@
 	server := &Server{
 		engine: e, clock: c, log: log, parser: newRequestParser(s, n.MaxClientTimeout), sleep: time.Sleep,
 		retryAfter: s.MaxRetryAfter, responseGracePeriod: n.ResponseGracePeriod,
-		ids: newRequestIDs(), connRequestRate: connRequestRate,
+		ids: newRequestIDs(), connRequestRate: connRequestRate, delays: &delayLog{log: log},
 	}
 	server.limiter = newConnLimiter(maxConnections, &server.state, log)
 	server.httpServer = &http.Server{
@@ -136,7 +137,9 @@
 	if s.state.reached(draining) || res.Close {
 		res.Header.Set("Connection", "close")
 	}
-	pendingRequestOf(res.Request).releaseID()
+	pending := pendingRequestOf(res.Request)
+	s.delays.observeResponse(s.clock.Now(), pending.request, pending.waited, res.StatusCode)
+	pending.releaseID()
 	return nil
 }
 
