--- a/cmd/balancer/flood_test.go
+++ b/cmd/balancer/flood_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 )
@@ -113,3 +114,52 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
+
+const (
+	// pipeliningClients is the number of clients that send at full speed at once.
+	pipeliningClients = 8
+	// smallShare is the share of a core of an instance that such clients could use up.
+	smallShare = 0.1
+	// dueSlack is how long after the time of a request its response is in time, and lossLimit how long after it a response counts
+	// as lost.
+	dueSlack  = 50 * time.Millisecond
+	lossLimit = 500 * time.Millisecond
+)
+
+// Guards against several clients that send requests under ever new names at full speed, without waiting for responses, and take
+// all of the processor time that an instance has: the responses of other clients came after their time or not at all. The
+// instance has a tenth of a core.
+func TestPipeliningClientsDoNotDelayOthers(t *testing.T) {
+	for name, request := range map[string]func(id int) string{
+		"readiness checks": func(int) string { return "GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n" },
+		"idempotent":       func(id int) string { return floodRequest("GET /read/1", id, "0.500", "") },
+		"keys":             func(id int) string { return floodRequest(fmt.Sprint("GET /read/1?key=", id), id, "0.500", "") },
+		"little time left": func(id int) string { return floodRequest("GET /read/1", id, "0.000001", "") },
+		"non-idempotent":   func(id int) string { return floodRequest("POST /pay/1", id, "0.500", "Content-Length: 0\r\n") },
+		"unsound":          func(id int) string { return floodRequest("GET /nothing", id, "0.500", "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			platform := newPlatformStub(t)
+			cfg, path := platform.configFileWith(t, testSettings, fmt.Sprintf(`{"cores":%g,"memory_mb":64,"sockets":512}`, smallShare))
+			process := startProcess(t, path)
+			waitFor(t, stepTimeout, "instance is not ready", func() bool { return isReady("http://" + cfg.Listen) })
+			process.limitCPU(t, smallShare)
+			until := time.Now().Add(2 * floodTime)
+			var running sync.WaitGroup
+			for i := range pipeliningClients {
+				running.Go(func() {
+					flood(cfg.Listen, until, func(sent int) string { return request(sent*pipeliningClients + i) })
+				})
+			}
+			others := newSteadyClients(cfg.Listen)
+			others.run(until)
+			running.Wait()
+			others.check(t)
+			process.checkPeakMemory(t, 64)
+			if t.Failed() {
+				t.Log(process.log.String())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/balancer/steadyclients_test.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	steadyClientCount = 10
+	steadyInterval    = 100 * time.Millisecond // between the requests of one client
+	steadyTimeLeft    = 300 * time.Millisecond // the longest time of the classes of testSettings
+)
+
+// steadyClients are clients that each send one request at a time, half of them on new connections.
+type steadyClients struct {
+	address string
+
+	mu           sync.Mutex
+	sent         int
+	late, lost   int
+	longest      time.Duration // from sending a request to its response
+	missing      error         // why the last of the missing responses did not come
+	missingCount int
+}
+
+func newSteadyClients(address string) *steadyClients { return &steadyClients{address: address} }
+
+// run sends requests until a time, and waits for their responses.
+func (s *steadyClients) run(until time.Time) {
+	var running sync.WaitGroup
+	for i := range steadyClientCount {
+		running.Go(func() {
+			client := steadyClient{address: s.address, keeps: i%2 == 0}
+			defer client.close()
+			time.Sleep(time.Duration(i) * steadyInterval / steadyClientCount)
+			for sent := 0; time.Now().Before(until); sent++ {
+				sentAt := time.Now()
+				err := client.exchange(fmt.Sprintf("steady-%d-%d", i, sent))
+				s.record(time.Since(sentAt), err)
+				time.Sleep(time.Until(sentAt.Add(steadyInterval)))
+			}
+		})
+	}
+	running.Wait()
+}
+
+func (s *steadyClients) record(took time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	s.longest = max(s.longest, took)
+	if err != nil {
+		s.missingCount++
+		s.missing = err
+	}
+	if late := took - steadyTimeLeft; late > dueSlack {
+		s.late++
+		if late > lossLimit {
+			s.lost++
+		}
+	}
+}
+
+// check fails the test if responses are missing or lost, or if more than allowedMisses of them were late.
+func (s *steadyClients) check(t *testing.T) {
+	t.Helper()
+	t.Logf("%d requests, longest %v", s.sent, s.longest)
+	if s.missingCount > 0 {
+		t.Errorf("%d of %d requests got no response, want none, the last: %v", s.missingCount, s.sent, s.missing)
+	}
+	if s.lost > 0 || float64(s.late) > allowedMisses*float64(s.sent) {
+		t.Errorf("%d requests: %d responses more than %v after their time, want none; %d more than %v, want at most %v of all",
+			s.sent, s.lost, lossLimit, s.late, dueSlack, allowedMisses)
+	}
+}
+
+// steadyClient sends one request at a time, on one connection or on a new one for each.
+type steadyClient struct {
+	address    string
+	keeps      bool
+	connection net.Conn // nil: none is open
+	responses  *bufio.Reader
+}
+
+// exchange sends a request and reads its response, whatever it is. A request that crosses the close of a connection that was
+// used before is sent once more, as the protocol has it.
+func (c *steadyClient) exchange(id string) error {
+	reused := c.connection != nil
+	closes, err := c.send(id)
+	if errors.Is(err, io.ErrUnexpectedEOF) && reused {
+		c.close()
+		closes, err = c.send(id)
+	}
+	if err != nil || closes || !c.keeps {
+		c.close()
+	}
+	return err
+}
+
+// send sends a request and reads its response. It reports whether the instance closes the connection.
+func (c *steadyClient) send(id string) (closes bool, err error) {
+	if c.connection == nil {
+		if c.connection, err = net.DialTimeout("tcp", c.address, responseWait); err != nil {
+			c.connection = nil
+			return false, err
+		}
+		c.responses = bufio.NewReader(c.connection)
+	}
+	_ = c.connection.SetDeadline(time.Now().Add(responseWait)) // fails only on a closed connection
+	timeLeft := fmt.Sprintf("%.3f", steadyTimeLeft.Seconds())
+	if _, err := fmt.Fprintf(c.connection, soundRequest, "GET /read/1", id, timeLeft, "steady", ""); err != nil {
+		return false, fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
+	}
+	response, err := http.ReadResponse(c.responses, nil)
+	if err != nil {
+		return false, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.Close, err
+}
+
+func (c *steadyClient) close() {
+	if c.connection != nil {
+		_ = c.connection.Close() // the instance may have closed it
+		c.connection = nil
+	}
+}
