Requests that clients send before their responses share one rate for all connections

Cause: the limit on fast clients was one of each connection, 500 requests a second, whatever processor time the instance has. Eight take 4,000 times 0.1 to 0.3 ms a second: more than the instance's part of a core. Their goroutines then never wait, each runs until it is preempted after 10 ms, and each of the six or more steps of another request waits for all of them. Change: a request whose first bytes were there before the response to the one before it was written comes from a client that does not keep to the protocol. All such requests share 1,000 a second for each core, each delayed by at most 1 s. Other requests never wait. TestPipeliningConnectionsShareOneRate fails without the condition: 1 ms, want at least 470 ms.

--- a/cmd/balancer/instance.go
+++ b/cmd/balancer/instance.go
@@ -84,7 +84,8 @@
 		return nil, err
 	}
 	inst.engine.Connect(inst.pool, inst.cluster.voteController(inst.controller), inst.watcher)
-	inst.ingress = ingress.New(inst.engine, monotonic, cfg.Settings, cfg.Network, connections, log)
+	inst.ingress = ingress.New(inst.engine, monotonic, cfg.Settings, cfg.Network,
+		ingress.Limits{Connections: connections, Cores: cfg.Limits.Cores}, log)
 	if inst.cluster.failover != nil {
 		inst.ingress.SetResumeDecision(lease.DecideResume)
 	}
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -11,7 +11,8 @@
 //	errors.go     status code and text for each reason not to pass a request to the engine
 //	serve.go      handling of one request: parse, read the body, claim its id, wait for the result of the engine
 //	ids.go        correlation ids that new requests must not have
-//	clientconn.go the connection of a request: whether its client has left, how fast its requests are handled
+//	clientconn.go the connection of a request: whether its client has left, or sends without waiting for responses
+//	pace.go       limits on the requests of clients at full speed
 //	delaylog.go   warnings about late responses and delayed requests
 //	response.go   results and errors as HTTP responses
 //	limits.go     connection limit: counting, eviction, rejection beyond the limit
--- /dev/null
+++ b/internal/ingress/pace_test.go
@@ -0,0 +1,89 @@
+package ingress
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// checkRequest is a request that needs no engine.
+const checkRequest = "GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n"
+
+// startPaced starts a server that has a number of cores, and counts the requests that it delays.
+func startPaced(t *testing.T, cores float64) (address string, delayed *atomic.Int64) {
+	t.Helper()
+	l := listen(t)
+	delayed = &atomic.Int64{}
+	serve(t, l, 10, func(server *Server) {
+		server.pacer = newPacer(cores)
+		server.pacer.sleep = func(delay time.Duration) {
+			if delay > 0 {
+				delayed.Add(1)
+			}
+			time.Sleep(delay)
+		}
+	})
+	return l.Addr().String(), delayed
+}
+
+// Guards against several clients that send requests without waiting for responses, each below the rate of one connection, and
+// together take the processor from others.
+func TestPipeliningConnectionsShareOneRate(t *testing.T) {
+	const cores, clients, requests = 0.1, 2, connRequestBurst / 2
+	address, _ := startPaced(t, cores)
+	began := time.Now()
+	var pipelining []*client
+	for range clients {
+		c := dial(t, address)
+		c.write(strings.Repeat(checkRequest, requests))
+		pipelining = append(pipelining, c)
+	}
+	for _, c := range pipelining {
+		for i := range requests {
+			if response, _ := c.readResponse(); response.StatusCode != http.StatusOK {
+				t.Fatalf("response %d: got status %d, want 200", i, response.StatusCode)
+			}
+		}
+	}
+	const delayed = clients*(requests-1) - 1 // but the first of each connection, and the first of all others
+	want := time.Duration(float64(delayed) / (cores * sharedRequestRate) * float64(time.Second))
+	if took := time.Since(began); took < want {
+		t.Errorf("%d requests of %d connections took %v, want at least %v", clients*requests, clients, took, want)
+	}
+}
+
+// Guards against clients that keep to the protocol and are delayed: each sends its next request as soon as it has a response,
+// and the process has hardly any processor time.
+func TestClientsThatAwaitResponsesAreNotPaced(t *testing.T) {
+	address, delayed := startPaced(t, 0.01)
+	first, second := dial(t, address), dial(t, address)
+	for range connRequestBurst {
+		for _, c := range []*client{first, second} {
+			c.write(checkRequest)
+			if response, _ := c.readResponse(); response.StatusCode != http.StatusOK {
+				t.Fatalf("response: got status %d, want 200", response.StatusCode)
+			}
+		}
+	}
+	if n := delayed.Load(); n > 0 {
+		t.Errorf("delayed requests: got %d, want none", n)
+	}
+}
+
+// Guards against a delay of a request that grows with the number of connections: its client would have no response in time.
+func TestSharedDelayIsBounded(t *testing.T) {
+	var longest time.Duration
+	p := newPacer(0.01)
+	p.sleep = func(delay time.Duration) { longest = max(longest, delay) }
+	for range 1000 {
+		p.awaitShared()
+	}
+	if longest != maxSharedDelay {
+		t.Errorf("longest delay: got %v, want %v", longest, maxSharedDelay)
+	}
+	if delay := p.shared.Reserve().Delay(); delay > 2*maxSharedDelay {
+		t.Errorf("delay after that: got %v, want at most %v: requests that did not wait must not count", delay, 2*maxSharedDelay)
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/time/rate"
 
 	"ottershed/decision"
 	"ottershed/internal/clock"
@@ -48,9 +47,9 @@
 	log    logrus.FieldLogger
 	parser requestParser
 
-	retryAfter          decision.Millis     // Retry-After of requests rejected without the engine; 0: none
-	responseGracePeriod decision.Millis     // time after a client's deadline within which the engine still responds
-	connRequestRate     rate.Limit          // see the constant connRequestRate; benchmarks replace it
+	retryAfter          decision.Millis // Retry-After of requests rejected without the engine; 0: none
+	responseGracePeriod decision.Millis // time after a client's deadline within which the engine still responds
+	pacer               *pacer
 	sleep               func(time.Duration) // time.Sleep; tests replace it to hold Drain up
 	decideResume        func(*decision.RequestClass) lease.ResumeDecision
 
@@ -63,16 +62,22 @@
 	delays     *delayLog
 }
 
-// New returns a server that serves requests on up to maxConnections client connections. [Server.Serve] starts it.
+// Limits are what a server may use.
+type Limits struct {
+	Connections int     // client connections that requests are served on
+	Cores       float64 // processor time in a second; a higher value lets clients at full speed send more
+}
+
+// New returns a server. [Server.Serve] starts it.
 func New(
-	e Engine, c *clock.Clock, s decision.Settings, n settings.Network, maxConnections int, log logrus.FieldLogger,
+	e Engine, c *clock.Clock, s decision.Settings, n settings.Network, limits Limits, log logrus.FieldLogger,
 ) *Server {
 	server := &Server{
 		engine: e, clock: c, log: log, parser: newRequestParser(s, n.MaxClientTimeout), sleep: time.Sleep,
 		retryAfter: s.MaxRetryAfter, responseGracePeriod: n.ResponseGracePeriod,
-		ids: newRequestIDs(), connRequestRate: connRequestRate, delays: &delayLog{log: log},
+		ids: newRequestIDs(), pacer: newPacer(limits.Cores), delays: &delayLog{log: log},
 	}
-	server.limiter = newConnLimiter(maxConnections, &server.state, log)
+	server.limiter = newConnLimiter(limits.Connections, &server.state, log)
 	server.httpServer = &http.Server{
 		Handler: server.handler(), ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: latestResult(n) + writeTimeout, ErrorLog: discardLog(), ConnState: server.limiter.track,
@@ -121,6 +126,7 @@
 
 // serveReadiness responds to the load balancer in front with 200 if this instance accepts requests, and 503 otherwise.
 func (s *Server) serveReadiness(w http.ResponseWriter, r *http.Request) {
+	clientConnOf(r.Context()).observePipelining()
 	if r.ContentLength != 0 {
 		w.Header().Set("Connection", "close") // the body is not read
 	}
@@ -137,6 +143,7 @@
 	if s.state.reached(draining) || res.Close {
 		res.Header.Set("Connection", "close")
 	}
+	clientConnOf(res.Request.Context()).observePipelining()
 	pending := pendingRequestOf(res.Request)
 	s.delays.observeResponse(s.clock.Now(), pending.request, pending.waited, res.StatusCode)
 	pending.releaseID()
--- a/internal/sockopt/peer.go
+++ b/internal/sockopt/peer.go
@@ -68,11 +68,21 @@
 	return n, err
 }
 
-// HasInput reports whether Peer has read further input ahead.
+// HasInput reports whether there is further input that Read has not returned, in the socket or read ahead.
 func (c *Conn) HasInput() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.ahead.input) > 0
+	return len(c.ahead.input) > 0 || c.ended == nil && hasUnread(c.raw)
+}
+
+// hasUnread reports whether the socket has unread input.
+func hasUnread(raw syscall.RawConn) bool {
+	unread := false
+	err := raw.Control(func(fd uintptr) {
+		n, _ := peekByte(int(fd))
+		unread = n > 0
+	})
+	return unread && err == nil
 }
 
 // end records that no input follows, and discards the requests that were read ahead. err is nil for the end of the input.
