The time that a request lies in the socket or the accept queue counts against its deadline

Cause: the time left counted from when the request was read. Change: the kernel's record (TCP_INFO, the time since data last arrived) is asked for with the bytes of a head. Bytes that came later make the time too late at most, as before; it is never before the response to the previous request. Without the record, the time of the read counts.

--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -28,10 +28,11 @@
 	ahead   readAhead // input that Read has not returned yet
 	ended   error     // io.EOF, or the error of the socket, that Peer has found instead of further input
 
-	head     headScanner // the head of the current request
-	bodyLeft int64       // see ExpectBody
-	headAt   time.Time   // when the newest bytes of the head arrived
-	startAt  time.Time   // when the first bytes of the current request were read
+	head        headScanner // the head of the current request
+	bodyLeft    int64       // see ExpectBody
+	headAt      time.Time   // when the newest bytes of the head arrived
+	startAt     time.Time   // when the first bytes of the current request were read
+	respondedAt time.Time   // when the newest response was written; zero before the first
 }
 
 // NewConn wraps an accepted connection. headTimeout limits the time from the first byte of a request to the end of its
@@ -51,8 +52,8 @@
 	c.bodyLeft = length
 }
 
-// HeadArrivedAt returns when the end of the current request's head arrived, as far as this process knows. It may have been read
-// ahead while an earlier request was served, and may have lain in the socket before.
+// HeadArrivedAt returns when the end of the current request's head arrived. It may have lain in the socket, or have been read ahead
+// while an earlier request was served. If the client has sent more since, the time may be later, but no later than the read.
 func (c *Conn) HeadArrivedAt() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,6 +66,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responded = true
+	c.respondedAt = time.Now()
 }
 
 // RequestPending reports whether at least a part of a request was read that has no response yet.
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -12,6 +12,7 @@
 //	listener.go  HasQueuedConnection
 //	conn.go      Conn: a client's connection, and closing it
 //	read.go      reading from a Conn
+//	arrival.go   when input arrived
 //	ahead.go     input that is read before its reader asks for it
 //	peer.go      whether the peer of a Conn has closed it
 //	head.go      the end and the lines of a request's head
--- a/internal/sockopt/peer.go
+++ b/internal/sockopt/peer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -63,7 +62,7 @@
 		}
 	}
 	if n, err = readFD(descriptor, c.ahead.spare()); n > 0 {
-		c.ahead.commit(n, time.Now())
+		c.ahead.commit(n, c.arrivedAt(descriptor))
 	}
 	return n, err
 }
--- a/internal/sockopt/read.go
+++ b/internal/sockopt/read.go
@@ -112,7 +112,7 @@
 }
 
 // readAvailable reads what is there, first the bytes that were read ahead; c.mu must be held. The error is one of the socket,
-// EAGAIN if nothing is there.
+// EAGAIN if nothing is there. arrivedAt is zero for the bytes of a body.
 func (c *Conn) readAvailable(fd int, buffer []byte) (n int, arrivedAt time.Time, err error) {
 	switch {
 	case len(c.ahead.input) > 0:
@@ -122,9 +122,16 @@
 		return 0, time.Time{}, c.ended
 	}
 	n, err = readFD(fd, buffer)
-	return n, time.Now(), err
+	if n <= 0 || c.head.ended {
+		return n, time.Time{}, err
+	}
+	return n, c.arrivedAt(fd), err
 }
 
+// arrivedAt returns when the newest input arrived. A client sends a request after it has the response to the one before; input
+// that arrived earlier counts from then on. c.mu must be held.
+func (c *Conn) arrivedAt(fd int) time.Time { return later(arrivalTime(fd, time.Now()), c.respondedAt) }
+
 // isWatchingRead reports whether a read of readSize bytes is one by which http.Server waits for the end of the connection.
 // While it reads a request, there is always a deadline.
 func (c *Conn) isWatchingRead(readSize int) bool {
