Error responses to invalid requests share the rate of all connections

An error response closes its connection, and a client that comes again at once has a new limit on a new one: 12,000 a second on a whole core, all of the processor on a part of one. Change: the error response to an invalid request waits for the shared rate, 1 s at most of the 3 s within which such a client is owed an error. It does not wait while the server drains or more than half of the connections are taken. Valid requests (409 for an id, 500 for a resumed request that may have run) get their response at once, as before. TestInvalidRequestsShareOneRate fails without the delay: 20 in 5 ms, want at least 190.

--- a/internal/ingress/delaylog.go
+++ b/internal/ingress/delaylog.go
@@ -54,8 +54,11 @@
 	d.late.add(d.log, "responses late")
 }
 
-// observePacing records a request that was delayed.
+// observePacing records the delay of a request, unless that is 0.
 func (d *delayLog) observePacing(client net.Addr, delay time.Duration) {
+	if delay == 0 {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if delay > d.paced.longest {
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -145,6 +145,13 @@
 	return true
 }
 
+// halfFull reports whether more than half of the connections that are allowed are open.
+func (l *connLimiter) halfFull() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns.entries) > l.maxConnections/2
+}
+
 // closeUnusedAndIdle closes the connections that carry no request, except unused ones within newConnectionGrace. It
 // returns the number of connections left.
 func (l *connLimiter) closeUnusedAndIdle() int {
--- a/internal/ingress/pace.go
+++ b/internal/ingress/pace.go
@@ -13,7 +13,7 @@
 	// connRequestBurst is the number of requests of one connection that are handled without a pause.
 	connRequestBurst = 50
 	// sharedRequestRate is the number of requests in a second, for each core, that all connections share for what no client
-	// that keeps to the protocol sends. A request takes 0.1 to 0.3 ms of a core. A higher value lets clients at full speed
+	// that keeps to the protocol sends: requests before their responses, and invalid ones. A request takes 0.1 to 0.3 ms of a core. A higher value lets clients at full speed
 	// take more of the processor from others.
 	sharedRequestRate = 1000
 	// maxSharedDelay is the longest delay of a request by sharedRequestRate. A client that sends no valid request must have its
@@ -72,7 +72,14 @@
 	if conn.pipelines {
 		delay += s.pacer.awaitShared()
 	}
-	if delay > 0 {
-		s.delays.observePacing(conn.RemoteAddr(), delay)
+	s.delays.observePacing(conn.RemoteAddr(), delay)
+}
+
+// delayInvalidRequest delays the error response to an invalid request by the rate that all connections share. The response closes
+// the connection, and a client that comes again at once on another one has a new limit there. There is no delay while the server
+// drains, or while other clients may need the place of the connection.
+func (s *Server) delayInvalidRequest(conn *clientConn) {
+	if !s.state.reached(draining) && !s.limiter.halfFull() {
+		s.delays.observePacing(conn.RemoteAddr(), s.pacer.awaitShared())
 	}
 }
--- a/internal/ingress/pace_test.go
+++ b/internal/ingress/pace_test.go
@@ -87,3 +87,38 @@
 		t.Errorf("delay after that: got %v, want at most %v: requests that did not wait must not count", delay, 2*maxSharedDelay)
 	}
 }
+
+// Guards against clients that send invalid requests, each on a new connection as soon as they have their error, and take the
+// processor from others. While more than half of the places are taken, they get their error at once and free theirs.
+func TestInvalidRequestsShareOneRate(t *testing.T) {
+	const cores, requests, places = 0.1, 20, 10 // places of serve
+	address, delayed := startPaced(t, cores)
+	began := time.Now()
+	refuse := func() {
+		t.Helper()
+		c := dial(t, address)
+		c.send("GET /nothing", "X-Time-Left: 1\r\n", "")
+		if response, _ := c.readResponse(); response.StatusCode != http.StatusNotFound {
+			t.Fatalf("response: got status %d, want 404", response.StatusCode)
+		}
+	}
+	for range requests {
+		refuse()
+	}
+	want := time.Duration(float64(requests-1) / (cores * sharedRequestRate) * float64(time.Second))
+	if took := time.Since(began); took < want {
+		t.Errorf("%d invalid requests took %v, want at least %v", requests, took, want)
+	}
+	var open []*client
+	for range places/2 + 1 {
+		c := dial(t, address)
+		c.write(checkRequest)
+		c.readResponse()
+		open = append(open, c)
+	}
+	before := delayed.Load()
+	refuse()
+	if n := delayed.Load() - before; n > 0 {
+		t.Errorf("delayed requests with %d of %d places taken: got %d, want none", len(open), places, n)
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -39,14 +39,16 @@
 	receivedAt := s.clock.Reading(clientConnOf(r.Context()).HeadArrivedAt())
 	waited := s.clock.Now() - receivedAt // behind earlier requests of the connection
 	parsed, err := s.parser.parse(r)
-	if err == nil && s.mayHaveRun(r, parsed) {
-		setRetryAfter(w.Header(), s.retryAfter)
-		err = errMayHaveRun
-	}
 	if err != nil {
+		s.delayInvalidRequest(clientConnOf(r.Context()))
 		s.refuse(w, r, err)
 		return
 	}
+	if s.mayHaveRun(r, parsed) {
+		setRetryAfter(w.Header(), s.retryAfter)
+		s.refuse(w, r, errMayHaveRun)
+		return
+	}
 	body := readBody(w, r)
 	id, err := s.ids.claim(parsed.correlationID)
 	if err != nil {
