Further input of a client wakes the read that awaits its leaving at most 50 times a second

Cause: while a request is served, a read waits for its client's leaving, and each piece of further input woke it to look at the socket, also while the request itself was delayed. By a processor profile 67 % of the time under eight such clients was spent there. Change: after a look that finds input, the next one comes 20 ms later, or at once when http.Server ends the read by a deadline.

--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -15,6 +15,7 @@
 	raw         syscall.RawConn
 	headTimeout time.Duration // see NewConn
 	headLines   int           // see NewConn
+	deadlineSet chan struct{} // signals a read deadline to pauseWatch; holds at most one signal
 
 	mu         sync.Mutex
 	pending    bool // at least a part of a request was read, and the request has no response yet
@@ -41,7 +42,7 @@
 // client use more memory, since each header field takes much more of it than its bytes. The error is that of SyscallConn.
 func NewConn(c *net.TCPConn, headTimeout time.Duration, headLines int) (*Conn, error) {
 	raw, err := c.SyscallConn()
-	return &Conn{TCPConn: c, raw: raw, headTimeout: headTimeout, headLines: headLines}, err
+	return &Conn{TCPConn: c, raw: raw, headTimeout: headTimeout, headLines: headLines, deadlineSet: make(chan struct{}, 1)}, err
 }
 
 // ExpectBody announces that a body of this length follows the head that was read. Its reader calls it before it reads the
--- a/internal/sockopt/peer.go
+++ b/internal/sockopt/peer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -12,6 +13,10 @@
 // PeerState tells whether the peer of a connection has closed it.
 type PeerState int
 
+// watchPause is the time from one look at further input of a peer to the next, while Read waits for the end of the connection. A
+// lower value shows the end behind that input earlier, and lets a peer that sends without pause use more processor time.
+const watchPause = 20 * time.Millisecond
+
 // The states of a peer.
 const (
 	// PeerOpen: the peer has not closed the connection.
@@ -127,9 +132,19 @@
 // awaitClose waits until the peer has closed the connection, and returns io.EOF then. The bytes of a further request do not
 // end the wait; they are read ahead. It returns early at the read deadline, or if this side closes the connection.
 func (c *Conn) awaitClose() error {
-	err := c.raw.Read(func(fd uintptr) bool { return c.inspectPeer(int(fd)) == PeerClosed })
-	if err != nil {
-		return err
+	select {
+	case <-c.deadlineSet: // of the request that was read
+	default:
+	}
+	for {
+		closed, err := c.awaitInput()
+		if err != nil {
+			return err
+		}
+		if closed {
+			break
+		}
+		c.pauseWatch()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,3 +153,24 @@
 	}
 	return io.EOF
 }
+
+// awaitInput waits for input or the end of the connection. It reports whether the peer has closed the connection.
+func (c *Conn) awaitInput() (closed bool, err error) {
+	looks := 0
+	err = c.raw.Read(func(fd uintptr) bool {
+		looks++
+		closed = c.inspectPeer(int(fd)) == PeerClosed
+		return closed || looks > 1
+	})
+	return closed, err
+}
+
+// pauseWatch waits for watchPause, or until a read deadline is set.
+func (c *Conn) pauseWatch() {
+	pause := time.NewTimer(watchPause)
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+	case <-c.deadlineSet:
+	}
+}
--- a/internal/sockopt/peer_test.go
+++ b/internal/sockopt/peer_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -141,3 +143,78 @@
 		t.Errorf("watching read: got error %v, want %v", err, net.ErrClosed)
 	}
 }
+
+// countingRaw counts how often Read looks at a socket.
+type countingRaw struct {
+	syscall.RawConn
+	looks atomic.Int64
+}
+
+// Read counts the calls of look.
+func (c *countingRaw) Read(look func(fd uintptr) bool) error {
+	return c.RawConn.Read(func(fd uintptr) bool {
+		c.looks.Add(1)
+		return look(fd)
+	})
+}
+
+// watch starts the read by which http.Server waits for the end of a connection. It returns the channel with its error.
+func watch(server *Conn) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		_, err := server.Read(make([]byte, 1))
+		ended <- err
+	}()
+	return ended
+}
+
+// Guards against a peer that sends without pause and takes the processor by it, while its request waits: each of its bytes woke
+// the read that waits for the end of the connection. The end itself is still seen in time.
+func TestInputDoesNotWakeWatchAtFullSpeed(t *testing.T) {
+	const sendTime = 10 * watchPause
+	client, server := connPair(t)
+	raw := &countingRaw{RawConn: server.raw}
+	server.raw = raw
+	ended := watch(server)
+	began := time.Now()
+	sent := 0
+	for ; time.Since(began) < sendTime; sent++ {
+		sendText(client, "x")
+		time.Sleep(watchPause / 100)
+	}
+	closeQuietly(client)
+	closedAt := time.Now()
+	if err := <-ended; !errors.Is(err, io.EOF) {
+		t.Errorf("error: got %v, want %v", err, io.EOF)
+	}
+	if seen := time.Since(closedAt); seen > departureLimit {
+		t.Errorf("end of the connection: seen after %v, want at most %v", seen, departureLimit)
+	}
+	// Two looks after each pause, and two at the start.
+	if looks, most := raw.looks.Load(), 2+2*int64(time.Since(began)/watchPause+1); looks > most {
+		t.Errorf("%d bytes in %v: got %d looks at the socket, want at most %d", sent, time.Since(began), looks, most)
+	}
+}
+
+// departureLimit is the time within which the end of a connection must be known.
+const departureLimit = 100 * time.Millisecond
+
+// Guards against a request that waits for the pause of the read before it: http.Server ends that read by a deadline.
+func TestDeadlineEndsPauseOfWatch(t *testing.T) {
+	client, server := connPair(t)
+	for range 20 {
+		ended := watch(server)
+		sendText(client, "x")
+		time.Sleep(watchPause / 10)
+		began := time.Now()
+		_ = server.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		if err := <-ended; !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("error: got %v, want %v", err, os.ErrDeadlineExceeded)
+		}
+		_ = server.SetReadDeadline(time.Time{})
+		if took := time.Since(began); took < watchPause/2 {
+			return
+		}
+	}
+	t.Errorf("read: ended more than %v after its deadline each time, want it to end at once", watchPause/2)
+}
--- a/internal/sockopt/read.go
+++ b/internal/sockopt/read.go
@@ -178,7 +178,14 @@
 	c.timedOut = false
 	c.deadline = !deadline.IsZero()
 	c.mu.Unlock()
-	return c.TCPConn.SetReadDeadline(deadline)
+	err := c.TCPConn.SetReadDeadline(deadline)
+	if !deadline.IsZero() {
+		select {
+		case c.deadlineSet <- struct{}{}:
+		default:
+		}
+	}
+	return err
 }
 
 // withinRequest reports whether a read of readSize bytes is for a request that may be partly on the connection: the first
