--- a/cmd/balancer/flood_soak_test.go
+++ b/cmd/balancer/flood_soak_test.go
@@ -28,8 +28,8 @@
 	// errorLimit is the time within which a client that sends no valid request must have an error or a close.
 	errorLimit = 3 * time.Second
 	// killAfter is the earliest time of SIGKILL after SIGTERM in the operators' pages.
-	killAfter = 3700 * time.Millisecond
-	crowdSize = 300 // connections that send nothing, or a part of a request, in some rounds
+	killAfter        = 3700 * time.Millisecond
+	surgeConnections = 300 // connections that send nothing, or a part of a request, in some rounds
 )
 
 // floodingClients are clients that send at full speed.
@@ -121,7 +121,7 @@
 	cpuShare   float64
 	floods     []*floodingClients
 	faults     bool // endpoints reject, fail, hang or serve at random
-	crowd      bool
+	surge      bool
 	holdUps    bool
 	reloads    bool
 	terminates bool
@@ -131,7 +131,7 @@
 func drawFloodRound(random *rand.Rand) floodRound {
 	shares := []float64{0.2, 0.3, 0.5, 1}
 	round := floodRound{
-		cpuShare: shares[random.IntN(len(shares))], faults: random.IntN(2) == 0, crowd: random.IntN(4) == 0,
+		cpuShare: shares[random.IntN(len(shares))], faults: random.IntN(2) == 0, surge: random.IntN(4) == 0,
 		holdUps: random.IntN(3) == 0, reloads: random.IntN(4) == 0, terminates: random.IntN(3) == 0,
 	}
 	kinds := make([]string, 0, len(floodKinds()))
@@ -152,8 +152,8 @@
 	for _, f := range r.floods {
 		floods = append(floods, fmt.Sprintf("%d of %q in mode %d: %d sent, longest %v", f.clients, f.kind, f.mode, f.sent, f.longest))
 	}
-	return fmt.Sprintf("%.1f cores, faults %v, crowd %v, hold-ups %v, reloads %v, SIGTERM %v, floods: %s",
-		r.cpuShare, r.faults, r.crowd, r.holdUps, r.reloads, r.terminates, strings.Join(floods, "; "))
+	return fmt.Sprintf("%.1f cores, faults %v, surge %v, hold-ups %v, reloads %v, SIGTERM %v, floods: %s",
+		r.cpuShare, r.faults, r.surge, r.holdUps, r.reloads, r.terminates, strings.Join(floods, "; "))
 }
 
 // A soak on separate processes with a part of a core: clients flood an instance in several ways, while others send one request
@@ -190,8 +190,8 @@
 	for _, f := range round.floods {
 		running.Go(func() { f.run(cfg.Listen, until) })
 	}
-	if round.crowd {
-		running.Go(func() { crowd(cfg.Listen, until) })
+	if round.surge {
+		running.Go(func() { surge(cfg.Listen, until) })
 	}
 	running.Go(func() { round.signal(t, process) })
 	others := newSteadyClients(cfg.Listen)
@@ -238,10 +238,10 @@
 	}
 }
 
-// crowd keeps crowdSize connections open until a time. One half sends nothing, the other a part of a request.
-func crowd(address string, until time.Time) {
+// surge keeps surgeConnections connections open until a time. One half sends nothing, the other a part of a request.
+func surge(address string, until time.Time) {
 	var running sync.WaitGroup
-	for i := range crowdSize {
+	for i := range surgeConnections {
 		running.Go(func() {
 			for time.Now().Before(until) {
 				connection, err := net.DialTimeout("tcp", address, time.Until(until))
--- a/internal/sockopt/peer.go
+++ b/internal/sockopt/peer.go
@@ -156,11 +156,11 @@
 
 // awaitInput waits for input or the end of the connection. It reports whether the peer has closed the connection.
 func (c *Conn) awaitInput() (closed bool, err error) {
-	looks := 0
+	inspections := 0
 	err = c.raw.Read(func(fd uintptr) bool {
-		looks++
+		inspections++
 		closed = c.inspectPeer(int(fd)) == PeerClosed
-		return closed || looks > 1
+		return closed || inspections > 1
 	})
 	return closed, err
 }
--- a/internal/sockopt/peer_test.go
+++ b/internal/sockopt/peer_test.go
@@ -144,17 +144,17 @@
 	}
 }
 
-// countingRaw counts how often Read looks at a socket.
+// countingRaw counts how often Read inspects a socket.
 type countingRaw struct {
 	syscall.RawConn
-	looks atomic.Int64
+	inspections atomic.Int64
 }
 
-// Read counts the calls of look.
-func (c *countingRaw) Read(look func(fd uintptr) bool) error {
+// Read counts the calls of inspect.
+func (c *countingRaw) Read(inspect func(fd uintptr) bool) error {
 	return c.RawConn.Read(func(fd uintptr) bool {
-		c.looks.Add(1)
-		return look(fd)
+		c.inspections.Add(1)
+		return inspect(fd)
 	})
 }
 
@@ -190,9 +190,9 @@
 	if seen := time.Since(closedAt); seen > departureLimit {
 		t.Errorf("end of the connection: seen after %v, want at most %v", seen, departureLimit)
 	}
-	// Two looks after each pause, and two at the start.
-	if looks, most := raw.looks.Load(), 2+2*int64(time.Since(began)/watchPause+1); looks > most {
-		t.Errorf("%d bytes in %v: got %d looks at the socket, want at most %d", sent, time.Since(began), looks, most)
+	// Two inspections after each pause, and two at the start.
+	if inspections, most := raw.inspections.Load(), 2+2*int64(time.Since(began)/watchPause+1); inspections > most {
+		t.Errorf("%d bytes in %v: got %d inspections of the socket, want at most %d", sent, time.Since(began), inspections, most)
 	}
 }
 
