Flood soak: requests that cross the close of a connection, by the log of evictions

The test sent a request again after the end of a reused connection only if it saw an end of file, not a reset, and did not say which connection it was.

--- a/cmd/balancer/process_test.go
+++ b/cmd/balancer/process_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -114,6 +116,17 @@
 	}
 }
 
+// hasEvicted reports whether a process, which logs at the debug level, has evicted the connection of a client for a reason.
+func (p *balancerProcess) hasEvicted(client, reason string) bool {
+	evicted := fmt.Sprintf(`msg="connection evicted" client=%q`, client)
+	for line := range strings.Lines(p.log.String()) {
+		if strings.Contains(line, evicted) && strings.Contains(line, "reason="+reason) {
+			return true
+		}
+	}
+	return false
+}
+
 // lockedBuffer is a buffer that a test can read while an instance writes its log to it.
 type lockedBuffer struct {
 	mu     sync.Mutex
