--- a/internal/ingress/pace.go
+++ b/internal/ingress/pace.go
@@ -13,8 +13,8 @@
 	// connRequestBurst is the number of requests of one connection that are handled without a pause.
 	connRequestBurst = 50
 	// sharedRequestRate is the number of requests in a second, for each core, that all connections share for what no client
-	// that keeps to the protocol sends: requests before their responses, and invalid ones. A request takes 0.1 to 0.3 ms of a core. A higher value lets clients at full speed
-	// take more of the processor from others.
+	// that keeps to the protocol sends: requests before the response to the one before, and invalid ones. A request takes 0.1 to
+	// 0.3 ms of a core. A higher value lets clients at full speed take more of the processor from others.
 	sharedRequestRate = 1000
 	// maxSharedDelay is the longest delay of a request by sharedRequestRate. A client that sends no valid request must have its
 	// error within responseTimeout.
