Time of arrival: no earlier than the beginning of the last write, not its report

Seen by callers: none so far. The test sent its requests before all threads of the stopped process had stopped; it waits for that now. And the arrival of a request was no earlier than MarkResponded, which http.Server reaches after the response is written: a process that is held up between the two while the client sends its next request counted none of its time in the socket. Change: the time is taken before each write. A client can't have a response before that. TestTimeInSocketCounts, with the report after the request has come, fails before: 1 of 1.

--- a/cmd/balancer/arrival_test.go
+++ b/cmd/balancer/arrival_test.go
@@ -27,6 +27,7 @@
 	}
 	platform.setFault(neverResponds)
 	process.signal(t, syscall.SIGSTOP)
+	waitFor(t, stepTimeout, "process is not stopped", func() bool { return process.isStopped(t) })
 	var exchanges sync.WaitGroup
 	for name, client := range map[string]*steadyClient{"kept": &kept, "new": {server: cfg.Listen}} {
 		exchanges.Go(func() {
--- a/cmd/balancer/process_test.go
+++ b/cmd/balancer/process_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -116,6 +117,22 @@
 	}
 }
 
+// isStopped reports whether all threads of a process are stopped. A stop signal reaches them one after another.
+func (p *balancerProcess) isStopped(t *testing.T) bool {
+	t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		t.Fatalf("threads of the process: got %d, error %v", len(threads), err)
+	}
+	for _, path := range threads {
+		_, state, _ := strings.Cut(readFile(t, path), ") ") // behind the name of the program
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // hasEvicted reports whether a process, which logs at the debug level, has evicted the connection of a client for a reason.
 func (p *balancerProcess) hasEvicted(client, reason string) bool {
 	evicted := fmt.Sprintf(`msg="connection evicted" client=%q`, client)
--- a/internal/sockopt/arrival_test.go
+++ b/internal/sockopt/arrival_test.go
@@ -44,13 +44,17 @@
 		if late := server.HeadArrivedAt().Sub(sentAt); late > unreadTime/2 || late < -kernelTick {
 			t.Errorf("%s: arrived %v after it was sent, want its time in the socket to count", name, late)
 		}
-		server.MarkResponded()
+		respond(server)
 		sentAt = time.Now()
 		sendText(client, request)
 		time.Sleep(unreadTime)
+		server.MarkResponded() // late: the process was held up behind the write
 	}
 }
 
+// respond writes a response. It ignores errors: the peer does not read it.
+func respond(server *Conn) { _, _ = server.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")) }
+
 // Guards against a time before the response to the previous request, which the kernel may tell where it knows no better.
 func TestRequestArrivesAfterPreviousResponse(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\n\r\n"
@@ -60,6 +64,7 @@
 	sendText(client, request)
 	time.Sleep(unreadTime)
 	respondedAt := time.Now()
+	respond(server)
 	server.MarkResponded()
 	readAll(t, server, len(request))
 	if arrived := server.HeadArrivedAt(); arrived.Before(respondedAt) {
--- a/internal/sockopt/conn.go
+++ b/internal/sockopt/conn.go
@@ -32,11 +32,11 @@
 	ahead   readAhead // input that Read has not returned yet
 	ended   error     // io.EOF, or the error of the socket, that Peer has found instead of further input
 
-	head        headScanner // the head of the current request
-	bodyLeft    int64       // see ExpectBody
-	headAt      time.Time   // when the newest bytes of the head arrived
-	startAt     time.Time   // when the first bytes of the current request were read
-	respondedAt time.Time   // when the newest response was written; zero before the first
+	head      headScanner // the head of the current request
+	bodyLeft  int64       // see ExpectBody
+	headAt    time.Time   // when the newest bytes of the head arrived
+	startAt   time.Time   // when the first bytes of the current request were read
+	writtenAt time.Time   // when the newest write to the peer began; zero before the first
 }
 
 // NewConn wraps an accepted connection. headTimeout limits the time from the first byte of a request to the end of its
@@ -75,6 +75,9 @@
 	if !accepted && c.beforeRefusal != nil {
 		c.beforeRefusal()
 	}
+	c.mu.Lock()
+	c.writtenAt = time.Now()
+	c.mu.Unlock()
 	return c.TCPConn.Write(text)
 }
 
@@ -92,7 +95,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responded = true
-	c.respondedAt = time.Now()
 }
 
 // RequestPending reports whether at least a part of a request was read that has no response yet.
--- a/internal/sockopt/read.go
+++ b/internal/sockopt/read.go
@@ -128,9 +128,10 @@
 	return n, c.arrivedAt(fd), err
 }
 
-// arrivedAt returns when the newest input arrived. A client sends a request after it has the response to the one before; input
-// that arrived earlier counts from then on. c.mu must be held.
-func (c *Conn) arrivedAt(fd int) time.Time { return later(arrivalTime(fd, time.Now()), c.respondedAt) }
+// arrivedAt returns when the newest input arrived. A client sends a request after it has the response to the one before, so input
+// that arrived earlier counts from the write of that. The time must be of the write's beginning: after it the process may be held
+// up while the client sends. c.mu must be held.
+func (c *Conn) arrivedAt(fd int) time.Time { return later(arrivalTime(fd, time.Now()), c.writtenAt) }
 
 // isWatchingRead reports whether a read of readSize bytes is one by which http.Server waits for the end of the connection.
 // While it reads a request, there is always a deadline.
