--- /dev/null
+++ b/review/rig-2/rig.py
@@ -0,0 +1,581 @@
+"""Stand-ins and helpers for the cases review/6 to review/10. Standard library only, loopback only.
+
+A case defines `async def case(lab)`, which returns a list of breaks of its rule (empty: the rule held), and calls
+run(case). The exit code is 1 if there are breaks, 0 if not, and 2 if the case could not run.
+"""
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+import traceback
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+LIMIT = 115.0  # seconds that a case may take
+RUN = "trap '' HUP; unset LB_DISCOVERY; exec bin/balancer serve"  # the line `run` of deploy/balancer.toml
+
+
+class CannotRun(Exception):
+    """The case could not be set up; says nothing on the rule."""
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def free_address():
+    return "127.0.0.1:%d" % free_port()
+
+
+class Lab:
+    def __init__(self, folder):
+        self.folder = folder
+        self.tmp = tempfile.mkdtemp(prefix="review-")
+        self.began = time.monotonic()
+        self.out = open(os.path.join(folder, "record.txt"), "w")
+        self.processes = {}
+
+    def now(self):
+        return time.monotonic() - self.began
+
+    def record(self, text):
+        self.out.write("%8.3f  %s\n" % (self.now(), text))
+        self.out.flush()
+
+    def path(self, name):
+        return os.path.join(self.tmp, name)
+
+    def write(self, name, text):
+        with open(self.path(name), "w") as f:
+            f.write(text)
+        return self.path(name)
+
+    async def start(self, name, config, operator=None, level="info"):
+        """Starts a balancer as the deploy file says."""
+        env = dict(os.environ, LB_CONFIG=self.write(name + ".json", json.dumps(config)), OTTERSHED_LOG_LEVEL=level)
+        for key in ("LB_NAME", "LB_LISTEN", "LB_DISCOVERY"):
+            env.pop(key, None)
+        env.pop("OTTERSHED_OPERATOR", None)
+        if operator is not None:
+            env["OTTERSHED_OPERATOR"] = self.write(name + ".toml", operator)
+        log = open(self.path(name + ".log"), "ab")
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", RUN, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+        log.close()
+        self.processes[name] = process
+        self.record("%s started, process %d" % (name, process.pid))
+        return process
+
+    async def signal(self, name, number):
+        process = self.processes[name]
+        if process.returncode is None:
+            self.record("%s gets %s" % (name, signal.Signals(number).name))
+            process.send_signal(number)
+            if number == signal.SIGKILL:
+                await process.wait()
+
+    async def kill(self, name):
+        await self.signal(name, signal.SIGKILL)
+
+    def log_of(self, name):
+        try:
+            with open(self.path(name + ".log"), errors="replace") as f:
+                return f.read()
+        except FileNotFoundError:
+            return ""
+
+    async def command(self, *args, timeout=40):
+        """Runs an operator's command and returns its exit code, standard output and standard error."""
+        process = await asyncio.create_subprocess_exec(
+            os.path.join(ROOT, "bin/balancer"), *args, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        self.processes["command-%d" % process.pid] = process
+        try:
+            out, err = await asyncio.wait_for(process.communicate(), timeout)
+        except asyncio.TimeoutError:
+            process.kill()
+            await process.wait()
+            return None, "", "no end within %d s" % timeout
+        return process.returncode, out.decode(), err.decode()
+
+    async def close(self):
+        for process in self.processes.values():
+            if process.returncode is None:
+                try:
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+                    await process.wait()
+                except ProcessLookupError:
+                    pass
+        if os.environ.get("KEEP"):
+            print("kept", self.tmp)
+        else:
+            shutil.rmtree(self.tmp, ignore_errors=True)
+
+
+# HTTP, as little of it as the stand-ins need.
+
+async def read_head(reader):
+    """Returns the first line and the headers, or None at the end of the connection."""
+    line = await reader.readline()
+    if not line.strip():
+        return None
+    headers = {}
+    while True:
+        field = await reader.readline()
+        if not field.strip():
+            return line.decode("latin-1").split(None, 2), headers
+        name, _, value = field.decode("latin-1").partition(":")
+        headers[name.strip().lower()] = value.strip()
+
+
+def answer(status, body=b"", **headers):
+    head = "HTTP/1.1 %d x\r\nContent-Length: %d\r\n" % (status, len(body))
+    for name, value in headers.items():
+        head += "%s: %s\r\n" % (name.replace("_", "-"), value)
+    return head.encode() + b"\r\n" + body
+
+
+async def request(address, method, path, headers=None, body=b"", timeout=5.0):
+    """Sends one request on a new connection. Returns status, headers and body, or None without a whole answer."""
+    host, port = address.split(":")
+    writer = None
+
+    async def exchange():
+        nonlocal writer
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = ["%s %s HTTP/1.1" % (method, path), "Host: " + address]
+        lines += ["%s: %s" % item for item in (headers or {}).items()]
+        if body or method == "POST":
+            lines.append("Content-Length: %d" % len(body))
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        head = await read_head(reader)
+        if head is None:
+            return None
+        (_, status, *_), fields = head
+        if "content-length" in fields:
+            text = await reader.readexactly(int(fields["content-length"]))
+        elif fields.get("transfer-encoding") == "chunked":
+            text = b""
+            while True:
+                size = int((await reader.readline()).strip(), 16)
+                part = await reader.readexactly(size + 2)
+                if size == 0:
+                    break
+                text += part[:-2]
+        else:
+            text = await reader.read()
+        return int(status), fields, text
+
+    try:
+        return await asyncio.wait_for(exchange(), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return None
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def get_json(address, path, body=None, timeout=5.0):
+    """Asks an admin interface. Returns the decoded answer, or None."""
+    if body is None:
+        got = await request(address, "GET", path, timeout=timeout)
+    else:
+        got = await request(address, "POST", path, {"Content-Type": "application/json"}, body, timeout)
+    if got is None or got[0] != 200:
+        return None
+    return json.loads(got[2])
+
+
+async def until(check, timeout, pause=0.1):
+    """Waits until check returns something true, and returns that; None after the timeout."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        got = check()
+        if asyncio.iscoroutine(got):
+            got = await got
+        if got:
+            return got
+        await asyncio.sleep(pause)
+    return None
+
+
+class Node:
+    """A sound server behind the balancers: answers every request, after `work` seconds, on connections that it keeps."""
+
+    def __init__(self, lab, name, work=0.01, build=1):
+        self.lab, self.name, self.work, self.build = lab, name, work, build
+        self.fail = lambda method, path: False
+        self.requests = []  # (time of the last byte, method, path, id)
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                (method, path, *_), headers = head
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                ident = headers.get("x-correlation-id", "")
+                self.requests.append((self.lab.now(), method, path, ident))
+                self.lab.record("%s got %s %s %s, %d bytes" % (self.name, method, path, ident, len(body)))
+                await asyncio.sleep(self.work)
+                if self.fail(method, path):
+                    writer.write(answer(500))
+                else:
+                    writer.write(answer(200, ("%s of %s" % (ident, self.name)).encode()))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def entry(self, status="Ready", **other):
+        entry = {"name": self.name, "address": self.address, "zone": "a", "type": "k", "group": 0, "status": status,
+                 "weight": 1.0, "since_ms": 0, "image_id": self.build}
+        entry.update(other)
+        return entry
+
+
+class Agent:
+    """Discovery at one balancer's own machine, with whole lists. mode: ok, refuse (503 to each call) or silent."""
+
+    def __init__(self, lab, name, entries):
+        self.lab, self.name, self.entries, self.index = lab, name, entries, 1
+        self.mode, self.changed = "ok", asyncio.Event()
+        self.refused, self.on_refused = 0, None
+        self.calls = []  # (time, URL)
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    def change(self, entries):
+        """Discovery has another list from now on."""
+        self.entries, self.index = entries, self.index + 1
+        self.wake()
+
+    def set_mode(self, mode):
+        self.lab.record("%s: discovery is %s" % (self.name, mode))
+        self.mode = mode
+        self.wake()
+
+    def wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                url = head[0][1]
+                self.calls.append((self.lab.now(), url))
+                await self.answer_call(url, writer)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    async def answer_call(self, url, writer):
+        query = dict(part.split("=") for part in url.partition("?")[2].split("&") if part)
+        end = time.monotonic() + int(query.get("timeout_ms", 0)) / 1000
+        since = int(query["since"]) if "since" in query else None
+        while True:
+            if self.mode == "refuse":
+                self.refused += 1
+                self.lab.record("%s refuses %s" % (self.name, url))
+                writer.write(answer(503))
+                if self.on_refused:
+                    self.on_refused()
+                return
+            left = end - time.monotonic()
+            if self.mode == "ok" and (since is None or self.index > since or left <= 0):
+                break
+            changed = self.changed
+            try:
+                await asyncio.wait_for(changed.wait(), max(0.01, left) if self.mode == "ok" else None)
+            except asyncio.TimeoutError:
+                pass
+        body = {"index": self.index, "snapshot": True, "endpoints": self.entries}
+        if since is not None and self.index <= since:
+            body = {"index": self.index, "snapshot": False, "endpoints": []}
+        writer.write(answer(200, json.dumps(body).encode(), Content_Type="application/json"))
+        if self.index > (since or 0):
+            self.lab.record("%s answers %s with list %d" % (self.name, url, self.index))
+
+
+class Desk:
+    """The rollout controller. It keeps its stage, whatever the votes, and rejects votes under an older token of a lease.
+
+    silent: it says and answers nothing.
+    """
+
+    def __init__(self, lab, stage=None):
+        self.lab = lab
+        self.stage = stage or {"image": 1, "ring": 0, "progress": "live", "ceiling": 1.0}
+        self.since = time.monotonic()
+        self.silent = False
+        self.followers = set()
+        self.votes = []  # (time, params, error or None)
+        self.tokens = {}  # highest fencing token of each lease that a vote has named
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.pinging = asyncio.ensure_future(self.ping())
+        return self
+
+    def state(self):
+        return dict(self.stage, lag_ms=int((time.monotonic() - self.since) * 1000))
+
+    def tell(self, writer, message):
+        if not self.silent:
+            writer.write((json.dumps(dict({"jsonrpc": "2.0"}, **message)) + "\n").encode())
+
+    def set_stage(self, **stage):
+        self.stage, self.since = stage, time.monotonic()
+        self.lab.record("desk: %s" % json.dumps(stage))
+        for writer in list(self.followers):
+            self.tell(writer, {"method": "stage", "params": self.state()})
+
+    def judge(self, vote):
+        """Rejects a vote on another build or stage, and one with a token below the highest that was seen for its lease."""
+        stale = False
+        for fence in vote.get("fences", []):
+            stale = stale or fence["token"] < self.tokens.get(fence["work"], 0)
+            self.tokens[fence["work"]] = max(fence["token"], self.tokens.get(fence["work"], 0))
+        if stale or vote["image"] != self.stage["image"]:
+            return "ConditionFailed"
+        if vote["opinion"] in ("on", "hold") and vote["ring"] != self.stage["ring"]:
+            return "ConditionFailed"
+        return None
+
+    async def ping(self):
+        while True:
+            await asyncio.sleep(1)
+            for writer in list(self.followers):
+                self.tell(writer, {"method": "ping"})
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line = await reader.readline()
+                if not line:
+                    break
+                call = json.loads(line)
+                while self.silent:
+                    await asyncio.sleep(0.05)
+                if call["method"] == "follow":
+                    self.tell(writer, {"id": call["id"], "result": True})
+                    self.followers.add(writer)
+                    self.tell(writer, {"method": "stage", "params": self.state()})
+                elif call["method"] == "castBallot":
+                    error = self.judge(call["params"])
+                    self.votes.append((self.lab.now(), call["params"], error))
+                    self.lab.record("desk: vote %s: %s" % (json.dumps(call["params"]), error or "taken"))
+                    if error:
+                        self.tell(writer, {"id": call["id"], "error": {"code": -32602, "message": error}})
+                    else:
+                        self.tell(writer, {"id": call["id"], "result": self.state()})
+        except (OSError, ValueError):
+            pass
+        finally:
+            self.followers.discard(writer)
+            writer.close()
+
+
+class Relay:
+    """A TCP relay to one address. While it is cut, it passes nothing and takes nothing; connections stay silent."""
+
+    def __init__(self, target):
+        self.target, self.is_cut, self.healed = target, False, asyncio.Event()
+        self.healed.set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    def cut(self):
+        self.healed.clear()
+
+    def heal(self):
+        self.healed.set()
+
+    async def serve(self, reader, writer):
+        await self.healed.wait()
+        host, port = self.target.split(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self.copy(reader, far_writer), self.copy(far_reader, writer))
+
+    async def copy(self, reader, writer):
+        try:
+            while True:
+                part = await reader.read(65536)
+                await self.healed.wait()
+                if not part:
+                    break
+                writer.write(part)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
+def settings(instances, **other):
+    """Settings of a small deployment, as on the page docs/configuration.md, with other top-level keys."""
+    out = {
+        "n-instances": instances, "zone": "a", "granularity-ms": 5,
+        "limits": {"most-tries": 5, "cancel": True, "retry-after": True, "max-retry-after-ms": 500,
+                   "conn-idle-ms": 30000, "connect-timeout-ms": 250},
+        "rules": {"cold-from": 0.35, "warm-after-ms": 4500, "overload-factor": 3, "overload-for-ms": 1000,
+                  "answer-slack-ms": 20, "drain-grace-ms": 250, "ask-within-ms": 10000},
+        "domain": {"swap": "rolling", "caps": [0.14, 1], "waves": [0.1, 1], "uncounted": 1, "guarded-stages": 0,
+                   "keys-stay": False, "on-votes": 1, "votes-to-revert": 1, "vote-ttl-ms": 6000, "vote-wait-ms": 800},
+        "services": [
+            {"name": "read", "aim-ms": 400, "give-up-ms": 1500, "idempotency": "safe"},
+            {"name": "send-text", "aim-ms": 500, "give-up-ms": 1500, "idempotency": "unsafe"}]}
+    for key, value in other.items():
+        out[key] = dict(out[key], **value) if isinstance(value, dict) and key in out else value
+    return out
+
+
+def config(name, agent, desk, values, **other):
+    out = {"name": name, "listen": free_address(), "discovery": agent.address, "seed": "%x" % random.getrandbits(60),
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "platform": {"address": desk.address},
+           "settings": values}
+    out.update(other)
+    return out
+
+
+class Fleet:
+    """Marshals that share membership, one policy and leases, as on the operators' pages. Each has its own agent."""
+
+    def __init__(self, lab, names, servers, nodes, desk, values, elect="200ms", lease="600ms", pause="2s", detect="5s"):
+        self.lab, self.names, self.servers, self.nodes, self.desk = lab, names, servers, nodes, desk
+        self.values, self.elect, self.lease, self.pause, self.detect = values, elect, lease, pause, detect
+        self.member = {n: "127.0.0.1:%d" % free_port(socket.SOCK_DGRAM) for n in names}
+        self.log = {n: free_address() for n in servers}
+        self.admin = {n: free_address() for n in names}
+        self.listen, self.configs, self.agents = {}, {}, {}
+        self.route = {}  # (from, to): address at which one reaches the log's port of the other, where not directly
+
+    async def prepare(self):
+        for name in self.names:
+            self.agents[name] = await Agent(self.lab, "agent-" + name, [n.entry() for n in self.nodes]).open()
+            self.configs[name] = config(name, self.agents[name], self.desk, self.values)
+            self.listen[name] = self.configs[name]["listen"]
+
+    def operator(self, name):
+        lines = ["[admin]", 'listen = "%s"' % self.admin[name], "[membership]", "enabled = true", 'cluster = "review"',
+                 'bind = "%s"' % self.member[name], 'bear-pause = "%s"' % self.pause,
+                 'detect-within = "%s"' % self.detect]
+        for other in self.names[:3]:
+            lines += ["[[membership.seeds]]", 'name = "%s"' % other, 'address = "%s"' % self.member[other]]
+        lines += ["[policy]", "enabled = true", 'dir = "%s.store"' % name, 'elect-within = "%s"' % self.elect]
+        if name in self.log:
+            lines.append('bind = "%s"' % self.log[name])
+        for server in self.servers:
+            address = self.route.get((name, server), self.log[server])
+            lines += ["[[policy.servers]]", 'name = "%s"' % server, 'address = "%s"' % address]
+        if self.lease:
+            lines += ["[takeover]", "enabled = true", 'lease = "%s"' % self.lease]
+        return "\n".join(lines) + "\n"
+
+    async def start(self, name):
+        """Starts a marshal. Its file holds the present list and the present stage, as at each start on the platform."""
+        cfg = self.configs[name]
+        agent = self.agents[name]
+        cfg["known"] = {"index": agent.index, "snapshot": True, "endpoints": agent.entries}
+        cfg["platform"]["news"] = self.desk.state()
+        await self.lab.start(name, cfg, self.operator(name))
+
+    async def ready(self, name, timeout=15):
+        async def up():
+            got = await request(self.listen[name], "GET", "/up", timeout=1)
+            return got is not None and got[0] == 200
+        if not await until(up, timeout):
+            raise CannotRun("%s is not ready" % name)
+
+    async def self_status(self, name):
+        return await get_json(self.admin[name], "/policy/self", timeout=2)
+
+    async def log_status(self, name):
+        status = await get_json(self.admin[name], "/policy/status", timeout=4)
+        return (status or {}).get("log") or {}
+
+    async def open(self, name, version=None):
+        """Whether this marshal admits trials, at this version."""
+        status = await self.self_status(name)
+        return bool(status and status["open"] and (version is None or status["version"] == version))
+
+    async def leader(self):
+        for name in self.servers:
+            if (await self.log_status(name)).get("role") == "leader":
+                return name
+        return None
+
+    async def propose(self, name, policy, *more, timeout=30):
+        """`balancer policy propose` at this marshal. Returns exit code and all output."""
+        path = self.lab.write("policy-%d.json" % random.getrandbits(30), json.dumps(policy))
+        self.lab.record("operator: policy propose at %s: %s" % (name, json.dumps(policy)))
+        code, out, err = await self.lab.command(
+            "policy", "propose", path, "--at", self.admin[name], *more, timeout=timeout)
+        self.lab.record("operator: exit code %s: %s" % (code, (out + err).strip()))
+        return code, out + err
+
+
+def run(case):
+    """Runs a case and ends the process with its exit code."""
+    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    lab = Lab(folder)
+
+    async def main():
+        if not os.access(os.path.join(ROOT, "bin/balancer"), os.X_OK):
+            raise CannotRun("bin/balancer is not built")
+        lab.record("trouble: %s" % ("yes" if TROUBLE else "no"))
+        try:
+            return await asyncio.wait_for(case(lab), LIMIT)
+        finally:
+            await lab.close()
+
+    code = 2
+    try:
+        breaks = asyncio.run(main())
+        for text in breaks:
+            lab.record("BREAK " + text)
+            print("BREAK", text)
+        code = 1 if breaks else 0
+        verdict = "the rule was broken" if breaks else "the rule held"
+    except CannotRun as e:
+        verdict = "could not run: %s" % e
+    except asyncio.TimeoutError:
+        verdict = "could not run: not done within %.0f s" % LIMIT
+    except Exception:
+        verdict = "could not run: " + traceback.format_exc()
+    lab.record(verdict)
+    print(verdict)
+    sys.stdout.flush()
+    os._exit(code)
