--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -26,9 +26,16 @@
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port outside of the range from which the system takes those of connections."""
+    for _ in range(200):
+        port = random.randrange(10240, 32000)
+        with socket.socket(socket.AF_INET, kind) as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    raise CannotRun("no free port")
 
 
 def free_address():
@@ -444,19 +451,38 @@
             writer.close()
 
 
-def settings(instances, **other):
-    """Settings of a small deployment, as on the page docs/configuration.md, with other top-level keys."""
-    out = {
-        "n-instances": instances, "zone": "a", "granularity-ms": 5,
-        "limits": {"most-tries": 5, "cancel": True, "retry-after": True, "max-retry-after-ms": 500,
-                   "conn-idle-ms": 30000, "connect-timeout-ms": 250},
-        "rules": {"cold-from": 0.35, "warm-after-ms": 4500, "overload-factor": 3, "overload-for-ms": 1000,
-                  "answer-slack-ms": 20, "drain-grace-ms": 250, "ask-within-ms": 10000},
-        "domain": {"swap": "rolling", "caps": [0.14, 1], "waves": [0.1, 1], "uncounted": 1, "guarded-stages": 0,
-                   "keys-stay": False, "on-votes": 1, "votes-to-revert": 1, "vote-ttl-ms": 6000, "vote-wait-ms": 800},
-        "services": [
-            {"name": "read", "aim-ms": 400, "give-up-ms": 1500, "idempotency": "safe"},
-            {"name": "send-text", "aim-ms": 500, "give-up-ms": 1500, "idempotency": "unsafe"}]}
+def settings(site, instances, **other):
+    """Settings of a site at its present size, with other keys laid over them. The pages' figures, or one in their range."""
+    limits = {"most-tries": 5, "cancel": True, "second-copies": False, "retry-after": True, "max-retry-after-ms": 500,
+              "conn-idle-ms": 30000, "connect-timeout-ms": 250}
+    rules = {"cold-from": 0.35, "warm-after-ms": 4500, "overload-factor": 3, "overload-for-ms": 1000,
+             "answer-slack-ms": 20, "drain-grace-ms": 250, "ask-within-ms": 10000}
+    domain = {"swap": "rolling", "keys-stay": False, "guarded-stages": 0, "vote-wait-ms": 800, "per": "all"}
+    if site == "vesiraja-levels":
+        domain.update({"caps": [0.112, 0.35, 0.84, 1], "waves": [0.08, 0.25, 0.6, 1], "uncounted": 1,
+                       "exposure-window-ms": 4000, "vote-mode": "majority", "on-votes": 2, "votes-to-revert": 1,
+                       "soak-ms": 1500, "vote-ttl-ms": 6000})
+        services = [
+            {"name": "level-read", "aim-ms": 400, "give-up-ms": 1500, "idempotency": "safe"},
+            {"name": "subscribe", "aim-ms": 500, "give-up-ms": 2000, "idempotency": "keyed", "group": "zone",
+             "window-ms": 1200},
+            {"name": "send-text", "aim-ms": 500, "give-up-ms": 1500, "idempotency": "unsafe"}]
+    elif site == "tanger-port":
+        limits.update({"most-tries": 6, "second-copies": True, "max-retry-after-ms": 1000, "conn-idle-ms": 15000})
+        rules.update({"cold-from": 0.31, "warm-after-ms": 4600, "overload-factor": 4, "overload-for-ms": 1500})
+        domain.update({"caps": [0.06, 0.24, 0.8, 1], "waves": [0.03, 0.12, 0.4, 1], "uncounted": 3,
+                       "exposure-window-ms": 3000, "vote-mode": "clocked", "auto-after-ms": 2500, "on-votes": 0,
+                       "to-pause": 1, "votes-to-revert": 1, "vote-ttl-ms": 4000})
+        services = [
+            {"name": "seat-lookup", "aim-ms": 800, "give-up-ms": 2000, "idempotency": "safe"},
+            {"name": "booking", "aim-ms": 750, "give-up-ms": 2000, "idempotency": "keyed", "group": "all",
+             "window-ms": 4000},
+            {"name": "gate-scan", "aim-ms": 500, "give-up-ms": 1500, "idempotency": "unsafe"}]
+    else:
+        raise CannotRun("no such site: " + site)
+    out = {"n-instances": instances, "zone": "a", "granularity-ms": 5, "limits": limits, "rules": rules,
+           "domain": domain, "services": services,
+           "discovery": "ask" if site == "tanger-port" else "push"}
     for key, value in other.items():
         out[key] = dict(out[key], **value) if isinstance(value, dict) and key in out else value
     return out
