--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,7 +21,7 @@
     agents, listens = [], []
     for i in range(MARSHALS):
         agent = await Agent(lab, "agent-n%d" % i, before).open()
-        cfg = config("n%d" % i, agent, desk, settings(MARSHALS, discovery="ask"),
+        cfg = config("n%d" % i, agent, desk, settings("tanger-port", MARSHALS),
                      known={"index": 1, "snapshot": True, "endpoints": before})
         cfg["platform"]["news"] = desk.state()
         await lab.start("n%d" % i, cfg)
@@ -63,7 +63,7 @@
         while running:
             ident = "n%d-%06d" % (i, len(sent))
             sent[ident] = i
-            got = await request(listens[i], "GET", "/read", {"X-Correlation-Id": ident, "X-Time-Left": "1.000"})
+            got = await request(listens[i], "GET", "/seat-lookup", {"X-Correlation-Id": ident, "X-Time-Left": "1.000"})
             lab.record("client %s: %s" % (ident, got and got[0]))
             await asyncio.sleep(0.05)
 
