Review rig: a script takes a block of ports of its own

Cause: each port was drawn at random and bound later by a marshal, so that one script could draw a port twice, or two scripts side by side the same; such a run ends with 2. Change: a script holds the first port of a block of 64 and hands out the others in turn.

--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -25,16 +25,40 @@
     """The case could not be set up; says nothing on the rule."""
 
 
+BLOCK = 64  # ports that a script takes for itself, so that scripts side by side share none
+FIRST, LAST = 10240, 32000  # outside of the range from which the system takes the ports of connections
+lock = None  # a listener at the first port of this script's block, for as long as the script runs
+ports = iter(())  # the further ports of the block
+
+
+def can_bind(s, port):
+    try:
+        s.bind(("127.0.0.1", port))
+        return True
+    except OSError:
+        return False
+
+
+def take_block():
+    global lock, ports
+    for first in random.sample(range(FIRST, LAST, BLOCK), 200):
+        lock = socket.socket()
+        if can_bind(lock, first):
+            lock.listen()
+            ports = iter(range(first + 1, first + BLOCK))
+            return
+        lock.close()
+    raise CannotRun("no free block of ports")
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    """A free port outside of the range from which the system takes those of connections."""
-    for _ in range(200):
-        port = random.randrange(10240, 32000)
+    """A free port that this script has not had yet, and that no other script of this rig has."""
+    if lock is None:
+        take_block()
+    for port in ports:
         with socket.socket(socket.AF_INET, kind) as s:
-            try:
-                s.bind(("127.0.0.1", port))
+            if can_bind(s, port):
                 return port
-            except OSError:
-                continue
     raise CannotRun("no free port")
 
 
