Review rig: one start, one client and one source of the site's figures for all cases

Cause: four cases had the same start, all the same request, review/7 a copy of its site's figures, and the rig carried code that no case used (silent stand-ins, a leader's status, keys laid over the settings). No check, bound or disruption changed.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -27,12 +27,8 @@
         await lab.start("n%d" % i, cfg)
         agents.append(agent)
         listens.append(cfg["listen"])
-    for listen in listens:
-        async def up():
-            got = await request(listen, "GET", "/up", timeout=1)
-            return got is not None and got[0] == 200
-        if not await until(up, 15):
-            raise CannotRun("a marshal is not ready")
+    for i, listen in enumerate(listens):
+        await ready(listen, "n%d" % i)
     if not await until(lambda: all(len(agent.calls) > 1 for agent in agents), 20):
         raise CannotRun("a marshal does not watch the list")
 
@@ -63,8 +59,7 @@
         while running:
             ident = "n%d-%06d" % (i, len(sent))
             sent[ident] = i
-            got = await request(listens[i], "GET", "/seat-lookup", {"X-Correlation-Id": ident, "X-Time-Left": "1.000"})
-            lab.record("client %s: %s" % (ident, got and got[0]))
+            await get(lab, listens[i], "/seat-lookup", ident, timeout=5.0)
             await asyncio.sleep(0.05)
 
     clients = [asyncio.ensure_future(client(i)) for i in range(MARSHALS)]
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -89,9 +89,9 @@
             f.write(text)
         return self.path(name)
 
-    async def start(self, name, config, operator=None, level="info"):
+    async def start(self, name, config, operator=None):
         """Starts a balancer as the deploy file says."""
-        env = dict(os.environ, LB_CONFIG=self.write(name + ".json", json.dumps(config)), OTTERSHED_LOG_LEVEL=level)
+        env = dict(os.environ, LB_CONFIG=self.write(name + ".json", json.dumps(config)), OTTERSHED_LOG_LEVEL="info")
         for key in ("LB_NAME", "LB_LISTEN", "LB_DISCOVERY"):
             env.pop(key, None)
         env.pop("OTTERSHED_OPERATOR", None)
@@ -215,6 +215,12 @@
             writer.close()
 
 
+async def get(lab, listen, path, ident, timeout=2.0):
+    """A client asks a marshal once, with one second left. What was answered is recorded."""
+    got = await request(listen, "GET", path, {"X-Correlation-Id": ident, "X-Time-Left": "1.000"}, timeout=timeout)
+    lab.record("client %s: %s" % (ident, got and got[0]))
+
+
 async def get_json(address, path, body=None, timeout=5.0):
     """Asks an admin interface. Returns the decoded answer, or None."""
     if body is None:
@@ -239,6 +245,15 @@
     return None
 
 
+async def ready(listen, name):
+    """Waits until a marshal is ready."""
+    async def up():
+        got = await request(listen, "GET", "/up", timeout=1)
+        return got is not None and got[0] == 200
+    if not await until(up, 15):
+        raise CannotRun("%s is not ready" % name)
+
+
 class Node:
     """A sound server behind the balancers: answers every request, after `work` seconds, on connections that it keeps."""
 
@@ -282,7 +297,7 @@
 
 
 class Agent:
-    """Discovery at one balancer's own machine, with whole lists. mode: ok, refuse (503 to each call) or silent."""
+    """Discovery at one balancer's own machine, with whole lists. mode: ok, or refuse (503 to each call)."""
 
     def __init__(self, lab, name, entries):
         self.lab, self.name, self.entries, self.index = lab, name, entries, 1
@@ -337,11 +352,11 @@
                     self.on_refused()
                 return
             left = end - time.monotonic()
-            if self.mode == "ok" and (since is None or self.index > since or left <= 0):
+            if since is None or self.index > since or left <= 0:
                 break
             changed = self.changed
             try:
-                await asyncio.wait_for(changed.wait(), max(0.01, left) if self.mode == "ok" else None)
+                await asyncio.wait_for(changed.wait(), max(0.01, left))
             except asyncio.TimeoutError:
                 pass
         body = {"index": self.index, "snapshot": True, "endpoints": self.entries}
@@ -353,16 +368,12 @@
 
 
 class Desk:
-    """The rollout controller. It keeps its stage, whatever the votes, and rejects votes under an older token of a lease.
-
-    silent: it says and answers nothing.
-    """
+    """The rollout controller. It keeps its stage, whatever the votes, and rejects votes under an older token of a lease."""
 
     def __init__(self, lab, stage=None):
         self.lab = lab
         self.stage = stage or {"image": 1, "ring": 0, "progress": "live", "ceiling": 1.0}
         self.since = time.monotonic()
-        self.silent = False
         self.followers = set()
         self.votes = []  # (time, params, error or None)
         self.tokens = {}  # highest fencing token of each lease that a vote has named
@@ -377,8 +388,7 @@
         return dict(self.stage, lag_ms=int((time.monotonic() - self.since) * 1000))
 
     def tell(self, writer, message):
-        if not self.silent:
-            writer.write((json.dumps(dict({"jsonrpc": "2.0"}, **message)) + "\n").encode())
+        writer.write((json.dumps(dict({"jsonrpc": "2.0"}, **message)) + "\n").encode())
 
     def set_stage(self, **stage):
         self.stage, self.since = stage, time.monotonic()
@@ -411,8 +421,6 @@
                 if not line:
                     break
                 call = json.loads(line)
-                while self.silent:
-                    await asyncio.sleep(0.05)
                 if call["method"] == "follow":
                     self.tell(writer, {"id": call["id"], "result": True})
                     self.followers.add(writer)
@@ -436,7 +444,7 @@
     """A TCP relay to one address. While it is cut, it passes nothing and takes nothing; connections stay silent."""
 
     def __init__(self, target):
-        self.target, self.is_cut, self.healed = target, False, asyncio.Event()
+        self.target, self.healed = target, asyncio.Event()
         self.healed.set()
 
     async def open(self):
@@ -475,8 +483,8 @@
             writer.close()
 
 
-def settings(site, instances, **other):
-    """Settings of a site at its present size, with other keys laid over them. The pages' figures, or one in their range."""
+def settings(site, instances):
+    """Settings of a site at its present size. The pages' figures, or one in their range."""
     limits = {"most-tries": 5, "cancel": True, "second-copies": False, "retry-after": True, "max-retry-after-ms": 500,
               "conn-idle-ms": 30000, "connect-timeout-ms": 250}
     rules = {"cold-from": 0.35, "warm-after-ms": 4500, "overload-factor": 3, "overload-for-ms": 1000,
@@ -504,12 +512,9 @@
             {"name": "gate-scan", "aim-ms": 500, "give-up-ms": 1500, "idempotency": "unsafe"}]
     else:
         raise CannotRun("no such site: " + site)
-    out = {"n-instances": instances, "zone": "a", "granularity-ms": 5, "limits": limits, "rules": rules,
-           "domain": domain, "services": services,
-           "discovery": "ask" if site == "tanger-port" else "push"}
-    for key, value in other.items():
-        out[key] = dict(out[key], **value) if isinstance(value, dict) and key in out else value
-    return out
+    return {"n-instances": instances, "zone": "a", "granularity-ms": 5, "limits": limits, "rules": rules,
+            "domain": domain, "services": services,
+            "discovery": "ask" if site == "tanger-port" else "push"}
 
 
 def config(name, agent, desk, values, **other):
@@ -562,31 +567,42 @@
         cfg["platform"]["news"] = self.desk.state()
         await self.lab.start(name, cfg, self.operator(name))
 
-    async def ready(self, name, timeout=15):
-        async def up():
-            got = await request(self.listen[name], "GET", "/up", timeout=1)
-            return got is not None and got[0] == 200
-        if not await until(up, timeout):
-            raise CannotRun("%s is not ready" % name)
+    async def ready(self, name):
+        await ready(self.listen[name], name)
+
+    async def start_all(self):
+        """Starts all marshals, and waits until each admits trials."""
+        await self.prepare()
+        for name in self.names:
+            await self.start(name)
+        for name in self.names:
+            await self.ready(name)
+            if not await until(lambda: self.open(name), 20):
+                raise CannotRun("%s does not admit trials" % name)
+
+    async def ask_all(self, path, seconds):
+        """At each marshal a client asks again and again for some seconds. Returns the marshal's name by id."""
+        sent = {}
+        end = time.monotonic() + seconds
+
+        async def client(name):
+            while time.monotonic() < end:
+                ident = "%s-%06d" % (name, len(sent))
+                sent[ident] = name
+                await get(self.lab, self.listen[name], path, ident)
+                await asyncio.sleep(0.05)
+
+        await asyncio.gather(*(client(name) for name in self.names))
+        return sent
 
     async def self_status(self, name):
         return await get_json(self.admin[name], "/policy/self", timeout=2)
 
-    async def log_status(self, name):
-        status = await get_json(self.admin[name], "/policy/status", timeout=4)
-        return (status or {}).get("log") or {}
-
     async def open(self, name, version=None):
         """Whether this marshal admits trials, at this version."""
         status = await self.self_status(name)
         return bool(status and status["open"] and (version is None or status["version"] == version))
 
-    async def leader(self):
-        for name in self.servers:
-            if (await self.log_status(name)).get("role") == "leader":
-                return name
-        return None
-
     async def propose(self, name, policy, *more, timeout=30):
         """`balancer policy propose` at this marshal. Returns exit code and all output."""
         path = self.lab.write("policy-%d.json" % random.getrandbits(30), json.dumps(policy))
