Polled lists: the next poll after a failed one leaves time to notify a change within 6 s

The operators count a change as notified 6 s after discovery had it and could be reached, whatever became of earlier calls.

Cause: decision/polling.go, pollRejected, had the whole of rules.ask-within-ms (10 s) as the only limit of its backoff. It also took the time since the module's last poll for the time that the rejected call had waited. A watch runs on without the module, so that this was nearly always the upper bound, 2.5 s, and the first wait 2.5 to 5 s.

Change: a rejected poll carries the time since it was sent. The next one is sent early enough that its response, too, can come within MaxNotificationDelay of the failed one: the service may have been back right after that. Of two polls that are rejected one after the other the earlier time is kept.

The expected text of TestPanicFailsRequestsAndRestartsModule has the new field of the event; TestConfigurationPage knows that no key sets the new field of the settings.

--- a/decision/endpoints.go
+++ b/decision/endpoints.go
@@ -48,7 +48,7 @@
 // handleEndpoints applies an update of the endpoint list, or backs off after a rejected poll.
 func (b *Balancer) handleEndpoints(event EndpointsChanged) {
 	if event.Kind == PollRejected {
-		b.pollRejected()
+		b.pollRejected(event.PollDuration)
 		return
 	}
 	b.polling.backoff = 0
--- a/decision/event.go
+++ b/decision/event.go
@@ -28,9 +28,10 @@
 
 // EndpointsChanged delivers the endpoint list, or changes to it.
 type EndpointsChanged struct {
-	Kind      SnapshotKind
-	Version   int64 // version of the list
-	Endpoints []Endpoint
+	Kind         SnapshotKind
+	Version      int64 // version of the list
+	Endpoints    []Endpoint
+	PollDuration Millis // with PollRejected: time from the sending of the poll; 0: unknown, since the last WatchEndpoints
 }
 
 // RequestReceived delivers a client's request. The request stays open until the balancer has emitted its final
--- a/decision/polling.go
+++ b/decision/polling.go
@@ -5,13 +5,14 @@
 const (
 	firstPollShare          = 0.25 // share of MaxPollInterval within which the first poll is sent
 	pollWaitShare           = 0.25 // share of MaxPollInterval: upper bound for the assumed time of a poll in the queue
+	maxResponseShare        = 0.5  // share of MaxNotificationDelay: upper bound for the time kept for a poll's response
 	minPollBackoffFactor    = 0.15 // the minimum backoff, without jitter, is twice MaxPollInterval times its square
 	pollSpreadHalfInstances = 20   // instances at which the first polls are spread over half of their range
 )
 
 // pollSchedule holds the times of polls for the endpoint list. It is used only with Settings.PollEndpoints.
 type pollSchedule struct {
-	nextAt  Millis // +Inf while a poll is in flight or the list is watched
+	nextAt  Millis // +Inf while no poll is due: one is in flight, or the list is watched
 	lastAt  Millis // time of the newest poll
 	backoff Millis // after the last rejected poll; 0 after an update of the endpoint list
 }
@@ -20,18 +21,40 @@
 // poll at the same time.
 func (b *Balancer) scheduleFirstPoll() {
 	spread := 1 - pollSpreadHalfInstances/(pollSpreadHalfInstances+float64(b.settings.Instances))
-	b.polling.nextAt = b.now + b.settings.MaxPollInterval*firstPollShare*b.random.Float64()*spread
+	within := min(b.settings.MaxPollInterval*firstPollShare, b.latestPoll(b.now)-b.now)
+	b.polling.nextAt = b.now + within*b.random.Float64()*spread
 }
 
-// pollRejected schedules the next poll by exponential backoff with jitter. The first backoff is at least the time
-// that the rejected poll waited in the queue: the service still processes polls that have timed out, and polls
-// repeated at once would keep the queue full.
-func (b *Balancer) pollRejected() {
+// pollRejected schedules the next poll by exponential backoff with jitter, at the latest at latestPoll. The first
+// backoff is at least the time that the rejected poll waited in the queue: the service still processes polls that have
+// timed out, and polls repeated at once would keep the queue full. pollDuration is the time from the sending of the poll
+// to its rejection, 0 if unknown.
+//
+// Two polls may be rejected one after the other, to the service at the address before a reload and to the one at the
+// new address. The poll that is due earlier is kept.
+func (b *Balancer) pollRejected(pollDuration Millis) {
+	sentAt := b.polling.lastAt
+	if pollDuration > 0 {
+		sentAt = b.now - pollDuration
+	}
 	maxInterval := b.settings.MaxPollInterval
-	waited := min(b.now-b.polling.lastAt, maxInterval*pollWaitShare)
+	waited := min(b.now-sentAt, maxInterval*pollWaitShare)
 	minBackoff := maxInterval * minPollBackoffFactor * minPollBackoffFactor
 	b.polling.backoff = min(2*max(b.polling.backoff, waited, minBackoff), maxInterval)
-	b.polling.nextAt = b.now + b.polling.backoff*(1+b.random.Float64())/2
+	wait := max(0, min(b.polling.backoff, b.latestPoll(sentAt)-b.now))
+	b.polling.nextAt = min(b.polling.nextAt, b.now+wait*(1+b.random.Float64())/2)
+}
+
+// latestPoll returns the time by which another poll must be sent after one that was sent at sentAt and has no response.
+// The service may have been reachable again right after sentAt. From then on, changes count as notified after
+// MaxNotificationDelay, in which the next poll must get its response too.
+func (b *Balancer) latestPoll(sentAt Millis) Millis {
+	maxDelay := b.settings.MaxNotificationDelay
+	if maxDelay == 0 {
+		return math.Inf(1)
+	}
+	responseTime := min(b.settings.MaxPollInterval*pollWaitShare, maxDelay*maxResponseShare)
+	return sentAt + maxDelay - responseTime - b.tickInterval
 }
 
 // pollIfDue sends the next poll when it is due. Another poll follows only after a rejection. Without
--- a/decision/settings.go
+++ b/decision/settings.go
@@ -20,6 +20,9 @@
 	Tenants          []TenantID // if not empty, only requests of these tenants reach the balancer
 	PollEndpoints    bool       // the endpoint list is polled through a queue instead of being pushed
 	MaxPollInterval  Millis     // with PollEndpoints: maximum time from a rejected poll to the next
+	// MaxNotificationDelay is the time after which a change of a polled list counts as notified, from the moment that the
+	// service has it and can be reached, whatever became of earlier polls; 0: MaxPollInterval alone limits the polls.
+	MaxNotificationDelay Millis
 
 	CrossZonePrice   float64 // cost of sending a request to another zone, as a share of its value, 0 to 1
 	HealthCheckPrice float64 // cost of a health check, as a share of the value of a request, 0 to 1
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -66,3 +66,6 @@
 
 // Duration converts milliseconds to a time.Duration, truncated to whole nanoseconds.
 func Duration(ms decision.Millis) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Millis converts a time.Duration to milliseconds.
+func Millis(d time.Duration) decision.Millis { return float64(d) / float64(time.Millisecond) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,7 +152,7 @@
 		if err != nil {
 			return merged, err
 		}
-		if merged, err = settings.ForDecisionModule(values); err != nil {
+		if merged, err = moduleSettings(values); err != nil {
 			return merged, err
 		}
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"ottershed/decision"
+	"ottershed/internal/clock"
 	"ottershed/internal/discovery"
 	"ottershed/internal/rollout"
 	"ottershed/internal/settings"
@@ -279,13 +280,21 @@
 	if c.RawSettings, err = settings.Flatten(raw); err != nil {
 		return &KeyError{Key: "settings", Err: err}
 	}
-	if c.Settings, err = settings.ForDecisionModule(c.RawSettings); err != nil {
+	if c.Settings, err = moduleSettings(c.RawSettings); err != nil {
 		return err
 	}
 	c.Network, err = settings.ForNetwork(c.RawSettings)
 	return err
 }
 
+// moduleSettings returns the settings of the decision module from a map of names and texts, with the limit that the
+// protocol of discovery sets. The error is one of settings.ForDecisionModule.
+func moduleSettings(texts map[string]string) (decision.Settings, error) {
+	values, err := settings.ForDecisionModule(texts)
+	values.MaxNotificationDelay = clock.Millis(discovery.MaxNotificationDelay)
+	return values, err
+}
+
 // isPresent reports whether a section is neither missing, null nor an empty object.
 func isPresent(section rawSection) bool {
 	trimmed := strings.TrimSpace(string(section))
--- a/internal/config/page_test.go
+++ b/internal/config/page_test.go
@@ -37,7 +37,7 @@
 	"config.Config":         {"Limits", "RawSettings", "Warnings", "Operator"},
 	"config.Limits":         nil,
 	"config.Operator":       nil,
-	"decision.Settings":     {"Classes", "WithheldShare", "Halt"},
+	"decision.Settings":     {"Classes", "MaxNotificationDelay", "WithheldShare", "Halt"},
 	"decision.RequestClass": nil,
 	"settings.Network":      nil,
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ottershed/decision"
+	"ottershed/internal/clock"
 	"ottershed/internal/engine"
 )
 
@@ -84,19 +85,20 @@
 		return w.callState()
 	case fetching, watching, superseded:
 	}
+	sentAt := time.Now()
 	update, err := w.fetchNext(ctx)
 	switch {
 	case ctx.Err() != nil:
 		return superseded
 	case err != nil:
-		return w.handleFailure(err)
+		return w.handleFailure(err, time.Since(sentAt))
 	}
 	return w.handleUpdate(ctx, update)
 }
 
-// handleFailure returns the state after a failed call. The handler gets a PollRejected if a polled service rejected the
-// call or failed twice in a row.
-func (w *watch) handleFailure(err error) watchState {
+// handleFailure returns the state after a call that failed this time after it was sent. The handler gets a PollRejected
+// if a polled service rejected the call or failed twice in a row.
+func (w *watch) handleFailure(err error, after time.Duration) watchState {
 	if errors.Is(err, errTimeout) && w.hedgeAfter > 0 {
 		w.version = noVersion
 		return fetching // without the retry delay, since the agent may be back
@@ -109,7 +111,7 @@
 		return backingOff
 	}
 	if failedBefore || errors.Is(err, errRejected) {
-		w.handle(engine.EndpointUpdate{Kind: decision.PollRejected})
+		w.handle(engine.EndpointUpdate{Kind: decision.PollRejected, PollDuration: clock.Millis(after)})
 		return awaitingResume
 	}
 	return backingOff
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -16,6 +16,10 @@
 	"ottershed/internal/settings"
 )
 
+// MaxNotificationDelay is the time after which the operators count a change of the list as notified, from the moment that
+// discovery has it and can be reached, whatever became of earlier calls.
+const MaxNotificationDelay = 6 * time.Second
+
 // Default time limits and delays of calls; see the fields of timing that have the same names.
 const (
 	watchTimeout    = 2 * time.Second // short, since calls get no response while the agent is down
@@ -93,6 +97,7 @@
 	knownVersion int64  // version of the list that is known at the start; noVersion: none
 	polls        bool   // the list is polled: the service has a queue and may reject calls (settings.Network.PollEndpoints)
 	decode       func([]byte) (engine.EndpointUpdate, error)
+	transport    func() http.RoundTripper // creates the connections of a watch
 	log          logrus.FieldLogger
 	causes       logging.Limiter // limits log lines about failed calls, by cause
 	calls        atomic.Int64    // number of calls sent since the start
@@ -118,7 +123,8 @@
 		commands: commands{
 			snapshotRequests: make(chan struct{}, 1), resume: make(chan struct{}, 1), newAddress: make(chan string),
 		},
-		address: address, knownVersion: noVersion, polls: network.PollEndpoints, decode: Decode, log: log,
+		address: address, knownVersion: noVersion, polls: network.PollEndpoints, decode: Decode,
+		transport: newTransport, log: log,
 	}
 	if watcher.polls && known != nil {
 		watcher.knownVersion = known.Version
@@ -126,6 +132,11 @@
 	return watcher
 }
 
+// newTransport returns the transport of one watch, which has at most one idle connection.
+func newTransport() http.RoundTripper {
+	return &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+}
+
 // FirstListReceived returns a channel that is closed once the first update of a list was passed to the handler. A
 // PollRejected does not count.
 func (w *Watcher) FirstListReceived() <-chan struct{} { return w.received }
@@ -199,7 +210,7 @@
 	next := &watch{
 		Watcher: s.watcher, number: s.newest, version: version, url: "http://" + address + "/discovery/hosts",
 		delivered: s.delivered,
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
+		client:    &http.Client{Transport: s.watcher.transport()},
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	s.cancel[next.number] = cancel
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -14,7 +14,7 @@
 	c.log.WithFields(logrus.Fields{
 		"how": update.Kind, "index": update.Version, "entries": len(update.Endpoints),
 	}).Debug("endpoint list received")
-	event := decision.EndpointsChanged{Kind: update.Kind, Version: update.Version}
+	event := decision.EndpointsChanged{Kind: update.Kind, Version: update.Version, PollDuration: update.PollDuration}
 	listed := map[decision.EndpointID]bool{}
 	for _, endpoint := range update.Endpoints {
 		event.Endpoints = append(event.Endpoints, endpoint.Endpoint)
--- a/internal/engine/recovery_test.go
+++ b/internal/engine/recovery_test.go
@@ -30,7 +30,7 @@
 			}
 			want := "[]"
 			if !panicsAgain {
-				want = "[{2 0 [{a 0 0  0  0 0} {b 0 0  0  0 0}]} {105 7 0 false 0 0 0}]"
+				want = "[{2 0 [{a 0 0  0  0 0} {b 0 0  0  0 0}] 0} {105 7 0 false 0 0 0}]"
 			}
 			got := fmt.Sprint(core.module.received)
 			got = strings.ReplaceAll(got, "{b 0 0  0  0 0} {a 0 0  0  0 0}", "{a 0 0  0  0 0} {b 0 0  0  0 0}")
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -94,6 +94,8 @@
 	Kind      decision.SnapshotKind
 	Version   int64
 	Endpoints []Endpoint
+	// PollDuration is the time from the sending of a poll to its failure, with PollRejected only.
+	PollDuration decision.Millis
 }
 
 // Upstream sends requests to endpoints. Its methods must not block.
