Polled lists: a call without a complete response is hedged, not given up first

Cause: a polled list was requested by one call at a time, whose time limits were for the first byte (4.5 s with an interval of 10 s, 12 s with 40 s), for the gap between two bytes (0.2 s) and for the whole (4 s more). A call that the service would never complete held up the next one for all of them; one that it would complete late was ended.

Earlier calls stay open, three at most with an interval of 10 s, and the first complete response counts. No limit between two bytes is left for it.

--- a/cmd/balancer/polled_outage_test.go
+++ b/cmd/balancer/polled_outage_test.go
@@ -101,6 +101,7 @@
 		"rejected": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 		"error":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
 		"reset":    func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"silent":   func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/decision/polling.go
+++ b/decision/polling.go
@@ -5,11 +5,14 @@
 const (
 	firstPollShare          = 0.25 // share of MaxPollInterval within which the first poll is sent
 	pollWaitShare           = 0.25 // share of MaxPollInterval: upper bound for the assumed time of a poll in the queue
-	maxResponseShare        = 0.5  // share of MaxNotificationDelay: upper bound for the time kept for a poll's response
 	minPollBackoffFactor    = 0.15 // the minimum backoff, without jitter, is twice MaxPollInterval times its square
 	pollSpreadHalfInstances = 20   // instances at which the first polls are spread over half of their range
 )
 
+// PollResponseTime is the part of MaxNotificationDelay that is kept for the response to a poll. A higher value tolerates a
+// slower service, for more polls while it does not respond.
+const PollResponseTime Millis = 2500
+
 // pollSchedule holds the times of polls for the endpoint list. It is used only with Settings.PollEndpoints.
 type pollSchedule struct {
 	nextAt  Millis // +Inf while no poll is due: one is in flight, or the list is watched
@@ -49,12 +52,10 @@
 // The service may have been reachable again right after sentAt. From then on, changes count as notified after
 // MaxNotificationDelay, in which the next poll must get its response too.
 func (b *Balancer) latestPoll(sentAt Millis) Millis {
-	maxDelay := b.settings.MaxNotificationDelay
-	if maxDelay == 0 {
+	if b.settings.MaxNotificationDelay == 0 {
 		return math.Inf(1)
 	}
-	responseTime := min(b.settings.MaxPollInterval*pollWaitShare, maxDelay*maxResponseShare)
-	return sentAt + maxDelay - responseTime - b.tickInterval
+	return sentAt + b.settings.MaxNotificationDelay - PollResponseTime - b.tickInterval
 }
 
 // pollIfDue sends the next poll when it is due. Another poll follows only after a rejection. Without
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -10,7 +10,7 @@
 //
 //	watcher.go    Watcher: construction, time limits, commands, the watches that run after a change of address
 //	watch.go      one watch at one address: its states and transitions
-//	snapshot.go   hedged full snapshot calls, for an agent that is slow or does not respond
+//	hedged.go     hedged calls, for a service that is slow or does not respond
 //	call.go       one HTTP call with its time limits
 //	delivery.go   delivery of updates, such that an older list never follows a newer one
 //	wire.go       the encoding of the endpoint list
--- a/internal/discovery/polled_helpers_test.go
+++ b/internal/discovery/polled_helpers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -99,8 +100,15 @@
 		}
 		return respondStatus(http.StatusServiceUnavailable)(r)
 	},
+	"no response":             func(r *http.Request) (*http.Response, error) { return nil, waitUntilCanceled(r) },
+	"stalled response":        respondSegments(0, segment{0, `{"index":`}, neverSent),
+	"trickling response":      respondSegments(0, trickle...),
+	"late trickling response": respondSegments(2*time.Second, trickle...),
 }
 
+// trickle is a response that takes 150 s.
+var trickle = splitEvenly(150*time.Millisecond, strings.Repeat(" ", 1000), 1000)
+
 // respondStatus returns a failure with a status and no body.
 func respondStatus(status int) failure {
 	return func(r *http.Request) (*http.Response, error) {
@@ -115,6 +123,17 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body)), Request: r}
 }
 
+// respondSegments returns a response that starts after a delay and arrives in segments.
+func respondSegments(delay time.Duration, segments ...segment) failure {
+	return func(r *http.Request) (*http.Response, error) {
+		if err := sleepUnlessCanceled(r, delay); err != nil {
+			return nil, err
+		}
+		body := &segmentedBody{r.Context(), slices.Clone(segments)}
+		return &http.Response{StatusCode: http.StatusOK, Body: body, Request: r}, nil
+	}
+}
+
 // resetAfter returns a connection that breaks after a delay.
 func resetAfter(delay time.Duration) failure {
 	return func(r *http.Request) (*http.Response, error) {
@@ -122,6 +141,12 @@
 	}
 }
 
+// waitUntilCanceled waits until the caller ends the call, and returns the error of its context.
+func waitUntilCanceled(r *http.Request) error {
+	<-r.Context().Done()
+	return r.Context().Err()
+}
+
 // sleepUnlessCanceled waits for a duration. The error is not nil if the caller ends the call before.
 func sleepUnlessCanceled(r *http.Request, duration time.Duration) error {
 	select {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,6 +49,7 @@
 	version     int64  // version of the last delivered list; noVersion: the next call requests a full snapshot
 	client      *http.Client
 	delivered   chan<- int // receives number after the first update was delivered
+	sentAt      time.Time  // time at which the newest hedged call was sent
 	unavailable bool       // set by a failed call or an overdue full snapshot, cleared by the next update
 }
 
@@ -85,21 +85,20 @@
 		return w.callState()
 	case fetching, watching, superseded:
 	}
-	sentAt := time.Now()
 	update, err := w.fetchNext(ctx)
 	switch {
 	case ctx.Err() != nil:
 		return superseded
 	case err != nil:
-		return w.handleFailure(err, time.Since(sentAt))
+		return w.handleFailure(err)
 	}
 	return w.handleUpdate(ctx, update)
 }
 
-// handleFailure returns the state after a call that failed this time after it was sent. The handler gets a PollRejected
-// if a polled service rejected the call or failed twice in a row.
-func (w *watch) handleFailure(err error, after time.Duration) watchState {
-	if errors.Is(err, errTimeout) && w.hedgeAfter > 0 {
+// handleFailure returns the state after a failed call. The handler gets a PollRejected if a polled service rejected the
+// call or failed twice in a row.
+func (w *watch) handleFailure(err error) watchState {
+	if errors.Is(err, errTimeout) && !w.polls {
 		w.version = noVersion
 		return fetching // without the retry delay, since the agent may be back
 	}
@@ -111,7 +110,7 @@
 		return backingOff
 	}
 	if failedBefore || errors.Is(err, errRejected) {
-		w.handle(engine.EndpointUpdate{Kind: decision.PollRejected, PollDuration: clock.Millis(after)})
+		w.handle(engine.EndpointUpdate{Kind: decision.PollRejected, PollDuration: clock.Millis(time.Since(w.sentAt))})
 		return awaitingResume
 	}
 	return backingOff
@@ -145,22 +144,24 @@
 
 // fetchNext makes the next call: for the changes since the known version, or else for a full snapshot.
 func (w *watch) fetchNext(ctx context.Context) (engine.EndpointUpdate, error) {
-	switch {
-	case w.version >= 0:
-		firstByteTimeout := w.watchTimeout + cmp.Or(w.hedgeAfter, w.responseTimeout)
-		return w.get(ctx, &call{
-			url:              fmt.Sprintf("%s?since=%d&timeout_ms=%d", w.url, w.version, w.watchTimeout.Milliseconds()),
-			firstByteTimeout: firstByteTimeout, stallTimeout: w.stallTimeout, timeout: firstByteTimeout + w.snapshotTimeout,
-		})
-	case w.hedgeAfter > 0:
-		return w.hedgedSnapshot(ctx)
+	if w.polls || w.version < 0 {
+		return w.hedged(ctx)
 	}
+	firstByteTimeout := w.watchTimeout + w.hedgeAfter
 	return w.get(ctx, &call{
-		url: w.url, firstByteTimeout: w.responseTimeout, stallTimeout: w.stallTimeout,
-		timeout: w.responseTimeout + w.snapshotTimeout,
+		url: w.callURL(), firstByteTimeout: firstByteTimeout, stallTimeout: w.stallTimeout,
+		timeout: firstByteTimeout + w.snapshotTimeout,
 	})
 }
 
+// callURL returns the URL of the next call: for the changes since the known version, or else for a full snapshot.
+func (w *watch) callURL() string {
+	if w.version < 0 {
+		return w.url
+	}
+	return fmt.Sprintf("%s?since=%d&timeout_ms=%d", w.url, w.version, w.watchTimeout.Milliseconds())
+}
+
 // warnUnavailable logs that a call failed, at a limited rate.
 func (w *watch) warnUnavailable(err error) {
 	if w.causes.Allow("unavailable") {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ottershed/decision"
 	"ottershed/internal/clock"
 	"ottershed/internal/engine"
 	"ottershed/internal/logging"
@@ -46,12 +47,14 @@
 // timing holds the time limits and delays of calls.
 type timing struct {
 	// watchTimeout is how long the service may keep a watch open without a change. A higher value means fewer calls and
-	// a longer time until a lost watch is noticed. Default 2 s, for a pushed list at most half of the drain grace.
+	// a longer time until a lost watch is noticed. Default 2 s, for a pushed list at most half of the drain grace. For a
+	// polled service it ends PollResponseTime before hedgeAfter, so that only a late response is hedged.
 	watchTimeout time.Duration
 	// responseTimeout limits the wait for the first byte of a response that is due. Default 1 s, for a polled service at
 	// least a quarter of the time within which an instance must poll.
 	responseTimeout time.Duration
-	// stallTimeout limits the wait for the next byte of a response that has started. Default 200 ms.
+	// stallTimeout limits the wait for the next byte of a response that has started. Default 200 ms; 0 for a polled
+	// service, which is called again after hedgeAfter whether bytes arrive or not.
 	stallTimeout time.Duration
 	// snapshotTimeout limits a full snapshot call until its last byte, and the response to a watch from its first
 	// byte to its last. The list of an agent that responds late or slowly would never arrive if each call ended
@@ -60,8 +63,9 @@
 	snapshotTimeout time.Duration
 	// retryDelay is the delay after a failed call. Default 50 ms, for a pushed list at most hedgeAfter.
 	retryDelay time.Duration
-	// hedgeAfter is the interval at which further full snapshot calls are sent while none has a response; 0: never. It
-	// is 0 for a polled service. For a pushed list it is a quarter of the drain grace, at most responseTimeout.
+	// hedgeAfter is the interval at which further calls are sent while none has a response: for a pushed list full
+	// snapshot calls, a quarter of the drain grace apart, at most responseTimeout; for a polled service any calls, so far
+	// apart that the response to the next one can arrive within MaxNotificationDelay of the one before.
 	hedgeAfter time.Duration
 }
 
@@ -75,6 +79,10 @@
 		// The service processes a queued call even after the caller has canceled it. If all instances canceled early, all
 		// of its work would be wasted.
 		limits.responseTimeout = max(limits.responseTimeout, clock.Duration(network.MaxPollInterval)/queueFraction)
+		pollResponseTime := clock.Duration(decision.PollResponseTime)
+		limits.hedgeAfter = MaxNotificationDelay - pollResponseTime
+		limits.watchTimeout = min(limits.watchTimeout, limits.hedgeAfter-pollResponseTime)
+		limits.stallTimeout = 0
 		return limits
 	}
 	// A watch that was open when the agent failed may never get a response, and changes count as notified as soon as the
