Polled lists: the permission to poll again reaches all watches that wait for it

The operators count the list as notified 4 s after SIGHUP.

Cause: the watches at both addresses waited in one channel for one permission of the decision module (Watcher.ResumeWatch). It went to the watch that had waited longer, the one at the old address. Once that one was served again no poll was rejected any more, so that no further permission came for the watch at the new address.

Change: a permission counts for all watches that wait at that time, by a counter in place of a buffered channel. It is no longer kept for a watch that does not wait, which let a later rejection pass without any backoff. For each permission at most one call is made at either address.

--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -11,6 +11,7 @@
 //	watcher.go    Watcher: construction, time limits, commands, the watches that run after a change of address
 //	watch.go      one watch at one address: its states and transitions
 //	hedged.go     hedged calls, for a service that is slow or does not respond
+//	resume.go     the permission to call a polled service again, for all watches that wait for it
 //	call.go       one HTTP call with its time limits
 //	delivery.go   delivery of updates, such that an older list never follows a newer one
 //	wire.go       the encoding of the endpoint list
--- a/internal/discovery/polled_fleet_test.go
+++ b/internal/discovery/polled_fleet_test.go
@@ -140,7 +140,7 @@
 	for i := range o.instances {
 		var once sync.Once
 		caller := &queuedCaller{service: service}
-		startPolledInstance(t, pollSettings(o.instances, 10000), uint64(i), "agent", caller, func(version int64) {
+		startPolledInstance(t, pollSettings(o.instances, 10000), uint64(i), caller, func(version int64) {
 			if version == 2 {
 				once.Do(func() { received <- time.Now() })
 			}
--- a/internal/discovery/polled_helpers_test.go
+++ b/internal/discovery/polled_helpers_test.go
@@ -42,16 +42,16 @@
 // startPolledInstance starts an instance that knows version 1 of the list. onList is called with the version of each list
 // that reaches the module.
 func startPolledInstance(
-	t *testing.T, moduleSettings decision.Settings, seed uint64, address string, transport http.RoundTripper,
-	onList func(version int64),
-) {
+	t *testing.T, moduleSettings decision.Settings, seed uint64, transport http.RoundTripper, onList func(version int64),
+) *polledInstance {
 	t.Helper()
 	instance := &polledInstance{onList: onList, module: decision.New(moduleSettings, seed), startedAt: time.Now()}
 	network := settings.Network{PollEndpoints: true, MaxPollInterval: moduleSettings.MaxPollInterval, DrainGrace: 250}
-	instance.watcher = New(address, &engine.EndpointUpdate{Version: 1}, network, instance.handleUpdate, discardLog())
+	instance.watcher = New("agent", &engine.EndpointUpdate{Version: 1}, network, instance.handleUpdate, discardLog())
 	instance.watcher.transport = func() http.RoundTripper { return transport }
 	instance.ctx, _ = runWatcher(t, instance.watcher)
 	instance.handle(decision.EndpointsChanged{Kind: decision.CachedSnapshot, Version: 1})
+	return instance
 }
 
 // handleUpdate passes an update of the watcher to the module.
@@ -220,3 +220,23 @@
 	}
 	return respondBody(r, fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[]}`, version)), nil
 }
+
+// services is a transport to several discovery services, by address.
+type services map[string]http.RoundTripper
+
+func (s services) RoundTrip(r *http.Request) (*http.Response, error) {
+	return s[r.URL.Host].RoundTrip(r)
+}
+
+// observedService is a service that calls onWatch for each watch: its caller has received a list before.
+type observedService struct {
+	http.RoundTripper
+	onWatch func()
+}
+
+func (s observedService) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Query().Get("since") != "" {
+		s.onWatch()
+	}
+	return s.RoundTripper.RoundTrip(r)
+}
--- a/internal/discovery/polled_test.go
+++ b/internal/discovery/polled_test.go
@@ -44,7 +44,7 @@
 			service := &polledService{serveCalls: like.serveCalls, fail: like.fail, failCalls: like.failCalls, latency: like.latency}
 			received := make(chan struct{})
 			var once sync.Once
-			startPolledInstance(t, pollSettings(6, maxPollInterval), seed, "agent", service, func(version int64) {
+			startPolledInstance(t, pollSettings(6, maxPollInterval), seed, service, func(version int64) {
 				if version == 2 {
 					once.Do(func() { close(received) })
 				}
@@ -76,7 +76,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				received := make(chan int64, 100)
 				startedAt := time.Now()
-				startPolledInstance(t, pollSettings(1, 10000), 1, "agent", service, func(version int64) {
+				startPolledInstance(t, pollSettings(1, 10000), 1, service, func(version int64) {
 					select {
 					case received <- version:
 					default:
@@ -92,3 +92,53 @@
 		})
 	}
 }
+
+// Guards against an instance that goes on with the list of the address before a reload: polls were rejected at both
+// addresses, and the permission to poll again went to the watch of the old one. Whatever becomes of the old service, and of
+// the first call to the new one, the instance has the list of the new one in time.
+func TestPolledListOfNewAddressReceived(t *testing.T) {
+	const within = 4 * time.Second // after a reload, for the operators to count it as notified
+	for firstCall, failNew := range failures {
+		for name, oldCalls := range map[string]int{
+			"serves": 0, "returns at once": 2, "returns soon": 4, "returns later": 6, "stays out of reach": math.MaxInt,
+		} {
+			for oldFailure, failOld := range map[string]failure{
+				"rejected": failures["status 503"], "refused": failures["connection refused"], "silent": failures["no response"],
+			} {
+				t.Run(fmt.Sprintf("%s, old service %s, %s", firstCall, oldFailure, name), func(t *testing.T) {
+					for reloadAfter := time.Second; reloadAfter < 10*time.Second; reloadAfter += 600 * time.Millisecond {
+						took := delayAfterReload(t, reloadAfter, services{
+							"agent": &polledService{serveCalls: 1, fail: failOld, failCalls: oldCalls},
+							"next":  &polledService{fail: failNew, failCalls: 1},
+						})
+						if took > within {
+							t.Errorf("reload after %v: got the list of the new address after %v, want at most %v", reloadAfter, took, within)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// delayAfterReload returns the time from a change of the address to "next" until an instance has the list from
+// there.
+func delayAfterReload(t *testing.T, reloadAfter time.Duration, transport services) (took time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var once sync.Once
+		received := make(chan struct{})
+		transport["next"] = observedService{transport["next"], func() { once.Do(func() { close(received) }) }}
+		instance := startPolledInstance(t, pollSettings(6, 10000), 1, transport, func(int64) {})
+		time.Sleep(reloadAfter)
+		instance.watcher.SetAddress(instance.ctx, "next")
+		reloadedAt := time.Now()
+		select {
+		case <-received:
+			took = time.Since(reloadedAt)
+		case <-time.After(10 * time.Minute):
+			t.Errorf("reload after %v: got no list of the new address within 10 min", reloadAfter)
+		}
+	})
+	return took
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -44,13 +44,14 @@
 // watch follows the list at one address. Its fields are used only by the goroutine of run.
 type watch struct {
 	*Watcher
-	number      int    // position in the order of start, from 1
-	url         string // URL of the list
-	version     int64  // version of the last delivered list; noVersion: the next call requests a full snapshot
-	client      *http.Client
-	delivered   chan<- int // receives number after the first update was delivered
-	sentAt      time.Time  // time at which the newest hedged call was sent
-	unavailable bool       // set by a failed call or an overdue full snapshot, cleared by the next update
+	number        int    // position in the order of start, from 1
+	url           string // URL of the list
+	version       int64  // version of the last delivered list; noVersion: the next call requests a full snapshot
+	client        *http.Client
+	delivered     chan<- int // receives number after the first update was delivered
+	rejectedAfter int        // number of the last resumption before the last PollRejected
+	sentAt        time.Time  // time at which the newest hedged call was sent
+	unavailable   bool       // set by a failed call or an overdue full snapshot, cleared by the next update
 }
 
 // run follows the list until ctx ends or a newer watch has delivered. Each call is sent as soon as the previous one has
@@ -78,7 +79,7 @@
 func (w *watch) step(ctx context.Context, state watchState) watchState {
 	switch state {
 	case awaitingResume:
-		w.awaitResume(ctx)
+		w.resumption.await(ctx, w.rejectedAfter)
 		return w.callState()
 	case backingOff:
 		sleep(ctx, w.retryDelay)
@@ -110,6 +111,7 @@
 		return backingOff
 	}
 	if failedBefore || errors.Is(err, errRejected) {
+		w.rejectedAfter, _ = w.resumption.state() // read first: the handler may cause the resumption
 		w.handle(engine.EndpointUpdate{Kind: decision.PollRejected, PollDuration: clock.Millis(time.Since(w.sentAt))})
 		return awaitingResume
 	}
@@ -169,14 +171,6 @@
 	}
 }
 
-// awaitResume waits for ResumeWatch, or until ctx ends.
-func (w *watch) awaitResume(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-w.resume:
-	}
-}
-
 // sleep waits for a duration, or until ctx ends.
 func sleep(ctx context.Context, duration time.Duration) {
 	select {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -114,7 +114,7 @@
 // commands passes commands of other goroutines to the running watches.
 type commands struct {
 	snapshotRequests chan struct{} // the next call must request a full snapshot; buffer of 1
-	resume           chan struct{} // see ResumeWatch; buffer of 1
+	resumption       *resumption   // see ResumeWatch
 	newAddress       chan string   // host:port from which the list is to be fetched from now on
 }
 
@@ -129,7 +129,7 @@
 		timing:   newTiming(network),
 		delivery: delivery{deliverEmpty: network.PollEndpoints, handle: handle, received: make(chan struct{})},
 		commands: commands{
-			snapshotRequests: make(chan struct{}, 1), resume: make(chan struct{}, 1), newAddress: make(chan string),
+			snapshotRequests: make(chan struct{}, 1), resumption: newResumption(), newAddress: make(chan string),
 		},
 		address: address, knownVersion: noVersion, polls: network.PollEndpoints, decode: Decode,
 		transport: newTransport, log: log,
@@ -156,8 +156,8 @@
 func (w *Watcher) RequestSnapshot() { signal(w.snapshotRequests) }
 
 // ResumeWatch allows the next call to a polled service, which waits for it after a rejection, after a repeated failure
-// and at the start with a known list.
-func (w *Watcher) ResumeWatch() { signal(w.resume) }
+// and at the start with a known list. After a change of address it allows one to either service.
+func (w *Watcher) ResumeWatch() { w.resumption.resume() }
 
 // signal sends to a channel with a buffer of 1, without blocking. A signal that is pending already is not duplicated.
 func signal(pending chan<- struct{}) {
