Polled lists: without rules.ask-within-ms rejected polls back off too

In an outage of 30 s 80 instances made 1,197 calls each, where 11 are made with an interval of 10 s.

Cause: the backoff of pollRejected had that setting as its only scale, so that 0 meant no wait at all.

Change: without the setting MaxNotificationDelay, 6 s, takes its place.

Test: the row "no interval" of TestPolledFleetRecoversFromOutage, 1,196.8 failed calls of an instance on where 22 are allowed; 11.2 now, and all 80 instances have the list 3.2 s after the outage.

--- a/decision/polling.go
+++ b/decision/polling.go
@@ -1,6 +1,9 @@
 package decision
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
 	firstPollShare          = 0.25 // share of MaxPollInterval within which the first poll is sent
@@ -24,7 +27,7 @@
 // poll at the same time.
 func (b *Balancer) scheduleFirstPoll() {
 	spread := 1 - pollSpreadHalfInstances/(pollSpreadHalfInstances+float64(b.settings.Instances))
-	within := min(b.settings.MaxPollInterval*firstPollShare, b.latestPoll(b.now)-b.now)
+	within := min(b.maxPollInterval()*firstPollShare, b.latestPoll(b.now)-b.now)
 	b.polling.nextAt = b.now + within*b.random.Float64()*spread
 }
 
@@ -40,7 +43,7 @@
 	if pollDuration > 0 {
 		sentAt = b.now - pollDuration
 	}
-	maxInterval := b.settings.MaxPollInterval
+	maxInterval := b.maxPollInterval()
 	waited := min(b.now-sentAt, maxInterval*pollWaitShare)
 	minBackoff := maxInterval * minPollBackoffFactor * minPollBackoffFactor
 	b.polling.backoff = min(2*max(b.polling.backoff, waited, minBackoff), maxInterval)
@@ -48,6 +51,12 @@
 	b.polling.nextAt = min(b.polling.nextAt, b.now+wait*(1+b.random.Float64())/2)
 }
 
+// maxPollInterval returns MaxPollInterval, or MaxNotificationDelay if that is not set: without any limit each poll would
+// follow on the rejection of the one before.
+func (b *Balancer) maxPollInterval() Millis {
+	return cmp.Or(b.settings.MaxPollInterval, b.settings.MaxNotificationDelay)
+}
+
 // latestPoll returns the time by which another poll must be sent after one that was sent at sentAt and has no response.
 // The service may have been reachable again right after sentAt. From then on, changes count as notified after
 // MaxNotificationDelay, in which the next poll must get its response too.
--- a/decision/settings.go
+++ b/decision/settings.go
@@ -19,7 +19,7 @@
 	Classes          []RequestClass
 	Tenants          []TenantID // if not empty, only requests of these tenants reach the balancer
 	PollEndpoints    bool       // the endpoint list is polled through a queue instead of being pushed
-	MaxPollInterval  Millis     // with PollEndpoints: maximum time from a rejected poll to the next
+	MaxPollInterval  Millis     // with PollEndpoints: maximum time from a rejected poll to the next; 0: MaxNotificationDelay
 	// MaxNotificationDelay is the time after which a change of a polled list counts as notified, from the moment that the
 	// service has it and can be reached, whatever became of earlier polls; 0: MaxPollInterval alone limits the polls.
 	MaxNotificationDelay Millis
--- a/internal/discovery/polled_fleet_test.go
+++ b/internal/discovery/polled_fleet_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"ottershed/decision"
 )
 
 // queuedService is a discovery service with a queue for the calls of all instances. All calls during an outage fail. It
@@ -97,6 +99,7 @@
 // fleetOutage is an outage of a queuedService and what its fleet may make of it.
 type fleetOutage struct {
 	instances  int
+	interval   decision.Millis // MaxPollInterval
 	callTime   time.Duration
 	maxWait    time.Duration
 	silent     bool          // calls in the outage get no response, instead of being rejected
@@ -111,14 +114,15 @@
 	const fast, slow = time.Millisecond, 100 * time.Millisecond // slow: 80 calls take 8 s
 	const queue, longQueue = 2 * time.Second, 4 * time.Second
 	for name, outage := range map[string]fleetOutage{
-		"one instance":                                          {1, fast, queue, false, MaxNotificationDelay, 22, 2},
-		"one instance, silent":                                  {1, fast, queue, true, MaxNotificationDelay, 22, 2},
-		"a large fleet":                                         {80, fast, queue, false, MaxNotificationDelay, 22, 2.2},
-		"a large fleet, silent":                                 {80, fast, queue, true, MaxNotificationDelay, 22, 2.2},
-		"a large fleet, slow service":                           {80, slow, queue, false, 20 * time.Second, 30, 3},
-		"a large fleet, slow service, silent":                   {80, slow, queue, true, 20 * time.Second, 30, 3},
-		"a large fleet, slow service with a long queue":         {80, slow, longQueue, false, 20 * time.Second, 30, 3},
-		"a large fleet, slow service with a long queue, silent": {80, slow, longQueue, true, 20 * time.Second, 30, 3},
+		"one instance":                                          {1, 10000, fast, queue, false, MaxNotificationDelay, 22, 2},
+		"one instance, silent":                                  {1, 10000, fast, queue, true, MaxNotificationDelay, 22, 2},
+		"a large fleet":                                         {80, 10000, fast, queue, false, MaxNotificationDelay, 22, 2.2},
+		"a large fleet, silent":                                 {80, 10000, fast, queue, true, MaxNotificationDelay, 22, 2.2},
+		"a large fleet, no interval":                            {80, 0, fast, queue, false, MaxNotificationDelay, 22, 2.2},
+		"a large fleet, slow service":                           {80, 10000, slow, queue, false, 20 * time.Second, 30, 3},
+		"a large fleet, slow service, silent":                   {80, 10000, slow, queue, true, 20 * time.Second, 30, 3},
+		"a large fleet, slow service with a long queue":         {80, 10000, slow, longQueue, false, 20 * time.Second, 30, 3},
+		"a large fleet, slow service with a long queue, silent": {80, 10000, slow, longQueue, true, 20 * time.Second, 30, 3},
 	} {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, outage.check) })
 	}
@@ -140,7 +144,7 @@
 	for i := range o.instances {
 		var once sync.Once
 		caller := &queuedCaller{service: service}
-		startPolledInstance(t, pollSettings(o.instances, 10000), uint64(i), caller, func(version int64) {
+		startPolledInstance(t, pollSettings(o.instances, o.interval), uint64(i), caller, func(version int64) {
 			if version == 2 {
 				once.Do(func() { received <- time.Now() })
 			}
--- a/internal/settings/network.go
+++ b/internal/settings/network.go
@@ -26,7 +26,7 @@
 	// reject them. Default: off, the list is pushed.
 	PollEndpoints bool
 	// MaxPollInterval (rules.ask-within-ms) is the time within which an instance must poll. Default 0; 0 or more. A
-	// higher value lets a queued call wait for longer before it is abandoned.
+	// higher value lets a queued call stay open for longer.
 	MaxPollInterval decision.Millis
 	// DrainGrace (rules.drain-grace-ms) is how long an endpoint may still get new requests after it was announced as
 	// draining. Default 0, which discovery treats as 50 ms; 0 or more. A higher value allows longer watches of a pushed
