--- a/decision/polling_test.go
+++ b/decision/polling_test.go
@@ -36,3 +36,35 @@
 			sim.balancer.polling.nextAt-rejectedAt)
 	}
 }
+
+// A rejected poll is followed by another one early enough for the response to that one to arrive MaxNotificationDelay after
+// the rejected one was sent, however long the backoff and however late the rejection. A rejection that is processed
+// later does not postpone it.
+func TestPollAfterRejectionLeavesTimeToNotify(t *testing.T) {
+	const maxDelay, latest = 6000, 6000 - PollResponseTime
+	for _, duration := range []Millis{1, 1000, 3000, 9000} {
+		sim := start(t, StageUpdate{}, func(s *Settings) {
+			s.PollEndpoints, s.MaxPollInterval, s.MaxNotificationDelay = true, 40000, maxDelay
+		})
+		sim.advance(latest)
+		for range 9 {
+			sentAt := sim.now
+			sim.advance(duration)
+			rejectedAt := sim.now
+			sim.handle(EndpointsChanged{Kind: PollRejected, PollDuration: duration})
+			dueAt := sim.balancer.polling.nextAt
+			if limit := max(sentAt+latest-sim.balancer.tickInterval, rejectedAt); dueAt > limit {
+				t.Errorf("poll rejected after %.0f ms: got the next one after %.0f ms, want at most %.0f",
+					duration, dueAt-rejectedAt, limit-rejectedAt)
+			}
+			sim.handle(EndpointsChanged{Kind: PollRejected, PollDuration: 1})
+			if again := sim.balancer.polling.nextAt; again > dueAt {
+				t.Errorf("second rejection: got the next poll after %.0f ms, want %.0f as before it", again-rejectedAt, dueAt-rejectedAt)
+			}
+			sim.advance(max(0, dueAt-sim.now) + sim.balancer.tickInterval)
+			if !math.IsInf(sim.balancer.polling.nextAt, 1) {
+				t.Errorf("poll due at %.0f ms: got none until %.0f ms, want one", dueAt, sim.now)
+			}
+		}
+	}
+}
