Polled lists: a call of an outage that fails late doesn't end the newer one

Cause: hedgedCalls.remove ended all calls at the first failure that was no timeout. That is right for an agent, which responds at once, and was taken over for a polled service, whose calls wait.

Change: of the calls to a polled service the failure of one counts only if no other is open.

--- a/internal/discovery/hedged.go
+++ b/internal/discovery/hedged.go
@@ -24,7 +24,8 @@
 }
 
 // hedged makes a call. While no response arrives, it sends further calls in parallel, until one call succeeds or fails.
-// The timeout of one call does not end the others.
+// The timeout of one call does not end the others; of the calls to a polled service, only the failure of the last one
+// that is open counts.
 //
 // From an agent it requests a full snapshot. An agent never responds to the calls that it accepted during an outage, and
 // changes count as notified from the moment that the agent is back. With one call a second, hundreds of instances would
@@ -147,17 +148,18 @@
 }
 
 // remove removes a failed call and returns its error. A timed-out or evicted call gives no error, since the other calls
-// continue.
+// continue. Neither does a call to a polled service while others are open: one from an outage may fail late, when the
+// service is back and is about to respond to a newer one.
 func (c *hedgedCalls) remove(ended *hedgedCall) error {
 	index := slices.Index(c.open, ended)
 	if index < 0 {
 		return nil // evicted
 	}
-	if !errors.Is(ended.err, errTimeout) {
-		return ended.err
-	}
 	c.open = slices.Delete(c.open, index, index+1)
-	return nil
+	if errors.Is(ended.err, errTimeout) || c.polls && len(c.open) > 0 {
+		return nil
+	}
+	return ended.err
 }
 
 // arriving reports whether the response to any open call is in progress.
--- a/internal/discovery/polled_helpers_test.go
+++ b/internal/discovery/polled_helpers_test.go
@@ -87,19 +87,16 @@
 
 // Ways in which a call to a discovery service can fail.
 var failures = map[string]failure{
-	"status 503":          respondStatus(http.StatusServiceUnavailable),
-	"status 429":          respondStatus(http.StatusTooManyRequests),
-	"status 500":          respondStatus(http.StatusInternalServerError),
-	"connection refused":  func(*http.Request) (*http.Response, error) { return nil, errBroken },
-	"malformed list":      func(r *http.Request) (*http.Response, error) { return respondBody(r, "what?"), nil },
-	"truncated list":      func(r *http.Request) (*http.Response, error) { return respondBody(r, `{"index":`), nil },
-	"reset after a while": resetAfter(time.Second),
-	"refused after a while": func(r *http.Request) (*http.Response, error) {
-		if err := sleepUnlessCanceled(r, 2*time.Second); err != nil {
-			return nil, err
-		}
-		return respondStatus(http.StatusServiceUnavailable)(r)
-	},
+	"status 503":              respondStatus(http.StatusServiceUnavailable),
+	"status 429":              respondStatus(http.StatusTooManyRequests),
+	"status 500":              respondStatus(http.StatusInternalServerError),
+	"connection refused":      func(*http.Request) (*http.Response, error) { return nil, errBroken },
+	"malformed list":          func(r *http.Request) (*http.Response, error) { return respondBody(r, "what?"), nil },
+	"truncated list":          func(r *http.Request) (*http.Response, error) { return respondBody(r, `{"index":`), nil },
+	"reset after a while":     resetAfter(time.Second),
+	"reset after the hedge":   resetAfter(4500 * time.Millisecond),
+	"refused after the hedge": refusedAfter(5500 * time.Millisecond),
+	"refused after a while":   refusedAfter(2 * time.Second),
 	"no response":             func(r *http.Request) (*http.Response, error) { return nil, waitUntilCanceled(r) },
 	"stalled response":        respondSegments(0, segment{0, `{"index":`}, neverSent),
 	"trickling response":      respondSegments(0, trickle...),
@@ -134,6 +131,16 @@
 	}
 }
 
+// refusedAfter returns a rejection after a delay.
+func refusedAfter(delay time.Duration) failure {
+	return func(r *http.Request) (*http.Response, error) {
+		if err := sleepUnlessCanceled(r, delay); err != nil {
+			return nil, err
+		}
+		return respondStatus(http.StatusServiceUnavailable)(r)
+	}
+}
+
 // resetAfter returns a connection that breaks after a delay.
 func resetAfter(delay time.Duration) failure {
 	return func(r *http.Request) (*http.Response, error) {
