--- a/internal/discovery/polled_fleet_test.go
+++ b/internal/discovery/polled_fleet_test.go
@@ -112,7 +112,7 @@
 // can serve all of them at once, each has the list MaxNotificationDelay after the end of the outage.
 func TestPolledFleetRecoversFromOutage(t *testing.T) {
 	const fast, slow = time.Millisecond, 100 * time.Millisecond // slow: 80 calls take 8 s
-	const crowded = 400 * time.Millisecond
+	const overloaded = 400 * time.Millisecond
 	const queue, longQueue, longerQueue = 2 * time.Second, 4 * time.Second, 6 * time.Second
 	for name, outage := range map[string]fleetOutage{
 		"one instance":                                          {1, 10000, fast, queue, false, MaxNotificationDelay, 22, 2},
@@ -125,9 +125,9 @@
 		"a large fleet, slow service with a long queue":         {80, 10000, slow, longQueue, false, 20 * time.Second, 30, 3},
 		"a large fleet, slow service with a long queue, silent": {80, 10000, slow, longQueue, true, 20 * time.Second, 30, 3},
 		// One call of each takes 32 s, for which the queue is full.
-		"a large fleet, crowded service":                     {80, 10000, crowded, longQueue, false, 48 * time.Second, 30, 3},
-		"a large fleet, crowded service, silent":             {80, 10000, crowded, longQueue, true, 48 * time.Second, 30, 3},
-		"a large fleet, crowded service with a longer queue": {80, 10000, crowded, longerQueue, false, 48 * time.Second, 30, 3},
+		"a large fleet, crowded service":                     {80, 10000, overloaded, longQueue, false, 48 * time.Second, 30, 3},
+		"a large fleet, crowded service, silent":             {80, 10000, overloaded, longQueue, true, 48 * time.Second, 30, 3},
+		"a large fleet, crowded service with a longer queue": {80, 10000, overloaded, longerQueue, false, 48 * time.Second, 30, 3},
 	} {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, outage.check) })
 	}
