--- a/internal/discovery/hedged.go
+++ b/internal/discovery/hedged.go
@@ -17,7 +17,7 @@
 // hedgedCall is a call that may be hedged by further calls.
 type hedgedCall struct {
 	call
-	longLived bool // may stay open for all of its timeout and is not evicted for newer calls
+	longLived bool // a snapshot call that may stay open for all of snapshotTimeout and is not evicted for newer calls
 	cancel    context.CancelFunc
 	update    engine.EndpointUpdate
 	err       error
@@ -103,16 +103,14 @@
 	return c.newSnapshotCall()
 }
 
-// newPoll creates the next call to a polled service. From the second call on, the service counts as unavailable.
+// newPoll creates the next call to a polled service, which stays open for as long as all limits of a watch together.
+// From the second call on, the service counts as unavailable.
 func (c *hedgedCalls) newPoll() *hedgedCall {
 	if len(c.open) > 0 {
 		c.markUnavailable()
 	}
 	timeout := c.watchTimeout + c.responseTimeout + c.snapshotTimeout
-	return &hedgedCall{
-		call:      call{url: c.callURL(), firstByteTimeout: timeout, timeout: timeout, sentAt: time.Now()},
-		longLived: true,
-	}
+	return &hedgedCall{call: call{url: c.callURL(), firstByteTimeout: timeout, timeout: timeout, sentAt: time.Now()}}
 }
 
 // newSnapshotCall creates the next full snapshot call to an agent. The call is long-lived if the last long-lived one was
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -51,7 +51,7 @@
 	// polled service it ends PollResponseTime before hedgeAfter, so that only a late response is hedged.
 	watchTimeout time.Duration
 	// responseTimeout limits the wait for the first byte of a response that is due. Default 1 s, for a polled service at
-	// least a quarter of the time within which an instance must poll.
+	// least a quarter of the time within which an instance must poll; a call to it stays open beyond that.
 	responseTimeout time.Duration
 	// stallTimeout limits the wait for the next byte of a response that has started. Default 200 ms; 0 for a polled
 	// service, which is called again after hedgeAfter whether bytes arrive or not.
